--- /dev/null
+++ b/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, backend servers, the link and callers."""
--- /dev/null
+++ b/emulator/backend_server.py
@@ -0,0 +1,112 @@
+"""A stand-in for a backend server.
+
+It runs requests in a few slots, each for a random time, and keeps a count of
+the runs of every request id, against which every promise can be checked.
+"""
+
+import collections
+import random
+import threading
+import time
+
+import msgspec
+
+from emulator import standin
+from savoryhollow import calls, webserver
+
+# Threads beyond the slots, for control requests and callers that wait.
+SPARE_THREADS = 40
+# Limit of a request, in bytes.
+MAX_BODY_BYTES = 2 << 20
+# Runs remembered by request id.
+MAX_RUNS = 500_000
+
+
+class BackendSettings(msgspec.Struct):
+    """What the stand-in is told when it starts."""
+
+    host: str
+    port: int
+    slots: int
+    seed: int
+    service_ms: float = 20.0
+
+
+class BackendState(msgspec.Struct):
+    """What a test may change.
+
+    :param service_ms: mean time that a request runs.
+    :param spread: share of it that is random.
+    :param noise_ms: time taken by noisy neighbours, on top.
+    :param fail_share: share of requests that fail at once.
+    :param draining: refuses every request.
+    :param answer_bytes: length of an answer's body.
+    """
+
+    service_ms: float
+    spread: float = 0.5
+    noise_ms: float = 0.0
+    fail_share: float = 0.0
+    draining: bool = False
+    answer_bytes: int = 500
+
+
+class BackendServer:
+    """Runs requests and counts them."""
+
+    def __init__(self, settings: BackendSettings):
+        self._state = BackendState(settings.service_ms)
+        self._slots = threading.Semaphore(settings.slots)
+        self._rng = random.Random(settings.seed)
+        self._lock = threading.Lock()
+        self._runs_by_id: collections.Counter[str] = collections.Counter()
+        self._busy = 0
+
+    def handle(self, request: webserver.HttpRequest) -> webserver.HttpAnswer:
+        """Answer one request."""
+        if request.path == "/control":
+            self._state = standin.control_from(request, self._state)
+            return standin.answer_json({})
+        if request.path == "/records":
+            with self._lock:
+                return standin.answer_json(dict(self._runs_by_id))
+        return self._run(request)
+
+    def _run(self, request: webserver.HttpRequest) -> webserver.HttpAnswer:
+        state = self._state
+        if state.draining:
+            return standin.answer_json({"error": "draining"}, 503)
+        request_id = _request_id(request)
+        with self._slots:
+            with self._lock:
+                self._runs_by_id[request_id] += 1
+                chance = self._rng.random()
+                fails = self._rng.random() < state.fail_share
+            if fails:
+                return standin.answer_json({"error": "failed"}, 500)
+            spread = 1 + state.spread * (2 * chance - 1)
+            time.sleep((state.service_ms * spread + state.noise_ms) / 1000)
+        body = request_id.encode().ljust(state.answer_bytes, b".")
+        return webserver.HttpAnswer(200, (calls.Header("X-Run", request_id),), body)
+
+
+def _request_id(request: webserver.HttpRequest) -> str:
+    for header in request.headers:
+        if header.name.lower() == "x-request-id":
+            return header.value
+    return calls.new_request_id()
+
+
+def main() -> None:
+    """Run the stand-in until it is told to stop."""
+    settings = standin.read_settings(BackendSettings)
+    backend = BackendServer(settings)
+    threads = settings.slots + SPARE_THREADS
+    server = webserver.WebServer(
+        settings.host, settings.port, threads, MAX_BODY_BYTES, backend.handle
+    )
+    standin.serve_until_told(server)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/emulator/deployment.py
@@ -0,0 +1,341 @@
+"""Start a deployment as separate processes on loopback, and stop it again.
+
+Every instance has an IP number of its own below ``127.S.0.0``; the octet S is
+held by an open socket, so that deployments side by side never meet.
+"""
+
+import dataclasses
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import urllib3
+
+from emulator import plans
+from savoryhollow import errors
+
+__all__ = ["Deployment", "Instance"]
+
+# Ports; each instance has its own IP number.
+FRONT_PORT = 7080
+INNER_PORT = 7081
+OPERATOR_PORT = 7082
+BACKEND_PORT = 7083
+STORE_PORT = 7084
+LINK_CONTROL_PORT = 7085
+LOCK_PORT = 7099
+# Limit for every process to be ready, in s.
+READY_LIMIT_S = 30.0
+# Limit for a process to end after SIGTERM, in s.
+STOP_LIMIT_S = 15.0
+
+
+class DeploymentError(errors.SavoryhollowError):
+    """A deployment did not come up."""
+
+
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """One instance: a backend server and the daemon beside it."""
+
+    endpoint_id: str
+    service: str
+    region: str
+    zone: str
+    host: str
+    link_host: str
+    daemon: subprocess.Popen | None = None
+    backend: subprocess.Popen | None = None
+
+
+class Deployment:
+    """The processes of one deployment; a context manager.
+
+    :param plan: what to start.
+    :param placement: the placement policy of every daemon.
+    :param daemon_settings: further settings of every daemon.
+    """
+
+    def __init__(
+        self,
+        plan: plans.DeploymentPlan,
+        placement: str = "evidence",
+        **daemon_settings: typing.Any,
+    ):
+        self.plan = plan
+        self._placement = placement
+        self._daemon_settings = daemon_settings
+        self._folder = tempfile.TemporaryDirectory(prefix="savoryhollow-")
+        self._lock_socket, self._subnet = _take_subnet()
+        self._http = urllib3.PoolManager(maxsize=4, retries=False)
+        self.instances_by_id = self._lay_out()
+        self.processes_by_name: dict[str, subprocess.Popen] = {}
+
+    def __enter__(self) -> "Deployment":
+        self.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    # -----------------------------------------------------------------------
+    #   Life
+    # -----------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Start every process and wait until each daemon is ready."""
+        self._start("platform", "emulator.platform", self._platform_settings())
+        self._start("link", "emulator.link", self._link_settings())
+        for instance in self.instances_by_id.values():
+            self.start_backend(instance)
+            self.start_daemon(instance)
+        deadline = time.monotonic() + READY_LIMIT_S
+        for instance in self.instances_by_id.values():
+            self.await_ready(instance, deadline)
+
+    def start_backend(self, instance: Instance) -> None:
+        """Start the backend server of an instance."""
+        service = self._service(instance.service)
+        settings = {
+            "host": instance.host,
+            "port": BACKEND_PORT,
+            "slots": self.plan.slots,
+            "seed": sum(instance.endpoint_id.encode()),
+            "service_ms": service.service_ms,
+        }
+        name = f"backend-{instance.endpoint_id}"
+        instance.backend = self._start(name, "emulator.backend_server", settings)
+
+    def start_daemon(self, instance: Instance) -> None:
+        """Start the daemon of an instance."""
+        settings = self._settings_of(instance)
+        name = f"daemon-{instance.endpoint_id}"
+        instance.daemon = self._start(name, "savoryhollow.daemon", settings)
+
+    def stop(self) -> dict[str, int]:
+        """Stop every process.
+
+        :returns: the exit statuses by process name.
+        """
+        processes = list(self.processes_by_name.items())
+        for name, process in processes:
+            if name.startswith("daemon"):
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        statuses = {}
+        for name, process in processes:
+            if name.startswith("daemon"):
+                statuses[name] = _wait(process)
+        for name, process in processes:
+            if not name.startswith("daemon"):
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+                statuses[name] = _wait(process)
+        self._lock_socket.close()
+        self._folder.cleanup()
+        return statuses
+
+    def await_ready(self, instance: Instance, deadline: float) -> None:
+        """Wait until a daemon has a configuration and a list in force."""
+        while time.monotonic() < deadline:
+            try:
+                state = self.dump(instance)
+            except urllib3.exceptions.HTTPError:
+                time.sleep(0.05)
+                continue
+            if state["configuration_revision"] >= 0 and state["list_revision"] >= 0:
+                return
+            time.sleep(0.05)
+        log = self.log(f"daemon-{instance.endpoint_id}")
+        raise DeploymentError(f"{instance.endpoint_id} is not ready; read: {log}")
+
+    # -----------------------------------------------------------------------
+    #   Questions and faults
+    # -----------------------------------------------------------------------
+
+    def front_url(self, instance: Instance) -> str:
+        """Return the address for callers of an instance's daemon."""
+        return f"http://{instance.host}:{FRONT_PORT}"
+
+    def operator(self, instance: Instance) -> str:
+        """Return the operator port of an instance's daemon, as HOST:PORT."""
+        return f"{instance.host}:{OPERATOR_PORT}"
+
+    def dump(self, instance: Instance) -> dict:
+        """Return the state dump of an instance's daemon."""
+        return self._ask("GET", f"http://{self.operator(instance)}/dump")
+
+    def records(self, instance: Instance) -> dict[str, int]:
+        """Return how often each request ran on an instance's backend server."""
+        return self._ask("GET", f"http://{instance.host}:{BACKEND_PORT}/records")
+
+    def control_backend(self, instance: Instance, **fields: typing.Any) -> None:
+        """Change the behaviour of an instance's backend server."""
+        url = f"http://{instance.host}:{BACKEND_PORT}/control"
+        self._ask("POST", url, fields)
+
+    def control_platform(self, **fields: typing.Any) -> None:
+        """Change what the platform publishes or how it fails."""
+        self._ask("POST", f"http://{self._store_host}:{STORE_PORT}/control", fields)
+
+    def platform_reads(self) -> int:
+        """Return how many calls the platform has counted."""
+        return self._ask("GET", f"http://{self._store_host}:{STORE_PORT}/reads")[
+            "reads"
+        ]
+
+    def control_link(self, **fields: typing.Any) -> dict[str, int]:
+        """Change how the link fails; return its counts."""
+        address = (self._link_host(1), LINK_CONTROL_PORT)
+        with socket.create_connection(address, timeout=5) as sock:
+            sock.sendall(json.dumps(fields).encode() + b"\n")
+            return json.loads(sock.makefile().readline())
+
+    def log(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (pathlib.Path(self._folder.name) / f"{name}.log").read_text()
+
+    def _ask(self, method: str, url: str, fields: dict | None = None) -> typing.Any:
+        body = None if fields is None else json.dumps(fields)
+        return self._http.request(method, url, body=body, timeout=5.0).json()
+
+    # -----------------------------------------------------------------------
+    #   Settings of the processes
+    # -----------------------------------------------------------------------
+
+    def _start(self, name: str, module: str, settings: dict) -> subprocess.Popen:
+        folder = pathlib.Path(self._folder.name)
+        path = folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        with open(folder / f"{name}.log", "ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, str(path)],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+        self.processes_by_name[name] = process
+        return process
+
+    def _lay_out(self) -> dict[str, Instance]:
+        instances = {}
+        zones = self.plan.zones_per_region
+        for service in self.plan.services:
+            for number in range(service.endpoints):
+                region_number = number % len(self.plan.regions)
+                zone_number = number // len(self.plan.regions) % zones
+                region = self.plan.regions[region_number]
+                count = len(instances) + 1
+                endpoint_id = f"{service.name}-{number}"
+                instances[endpoint_id] = Instance(
+                    endpoint_id=endpoint_id,
+                    service=service.name,
+                    region=region,
+                    zone=f"{region}-{'ab'[zone_number % 2]}",
+                    host=f"127.{self._subnet}.{region_number}.{count}",
+                    link_host=self._link_host(count + 10),
+                )
+        return instances
+
+    def _link_host(self, number: int) -> str:
+        return f"127.{self._subnet}.100.{number}"
+
+    @property
+    def _store_host(self) -> str:
+        return f"127.{self._subnet}.90.1"
+
+    def _service(self, name: str) -> plans.ServicePlan:
+        return next(s for s in self.plan.services if s.name == name)
+
+    def listing(self, region: str, **states: str) -> list[dict]:
+        """Return the list of instances as a region sees it.
+
+        :param region: the region.
+        :param states: states by endpoint id, with ``_`` for ``-``.
+        """
+        return [
+            {
+                "endpoint_id": instance.endpoint_id,
+                "service": instance.service,
+                "region": instance.region,
+                "zone": instance.zone,
+                "host": self._seen_from(instance, region),
+                "port": INNER_PORT,
+                "state": states.get(instance.endpoint_id.replace("-", "_"), "live"),
+            }
+            for instance in self.instances_by_id.values()
+        ]
+
+    def _seen_from(self, instance: Instance, region: str) -> str:
+        return instance.host if instance.region == region else instance.link_host
+
+    def _platform_settings(self) -> dict:
+        return {
+            "host": self._store_host,
+            "port": STORE_PORT,
+            "files": self.plan.files,
+            "instances_by_region": {
+                region: self.listing(region) for region in self.plan.regions
+            },
+        }
+
+    def _link_settings(self) -> dict:
+        forwards = [
+            _forward(instance.link_host, instance.host, INNER_PORT)
+            for instance in self.instances_by_id.values()
+        ]
+        forwards.append(_forward(self._link_host(2), self._store_host, STORE_PORT))
+        return {
+            "control_host": self._link_host(1),
+            "control_port": LINK_CONTROL_PORT,
+            "delay_ms": self.plan.delay_ms,
+            "bits_per_s": self.plan.link_bits_per_s,
+            "forwards": forwards,
+        }
+
+    def _settings_of(self, instance: Instance) -> dict:
+        far = instance.region != self.plan.store_region
+        store_host = self._link_host(2) if far else self._store_host
+        return {
+            "endpoint_id": instance.endpoint_id,
+            "service": instance.service,
+            "region": instance.region,
+            "zone": instance.zone,
+            "front": {"host": instance.host, "port": FRONT_PORT},
+            "inner": {"host": instance.host, "port": INNER_PORT},
+            "operator": {"host": instance.host, "port": OPERATOR_PORT},
+            "backend": {"host": instance.host, "port": BACKEND_PORT},
+            "store": {"host": store_host, "port": STORE_PORT},
+            "slots": self.plan.slots,
+            "placement": self._placement,
+        } | self._daemon_settings
+
+
+def _forward(host: str, to_host: str, port: int) -> dict:
+    return {"host": host, "port": port, "to_host": to_host, "to_port": port}
+
+
+def _take_subnet() -> tuple[socket.socket, int]:
+    for subnet in range(10, 250):
+        held = socket.socket()
+        try:
+            held.bind((f"127.{subnet}.200.1", LOCK_PORT))
+        except OSError:
+            held.close()
+            continue
+        return held, subnet
+    raise DeploymentError("no subnet is free; stop other deployments")
+
+
+def _wait(process: subprocess.Popen) -> int:
+    try:
+        return process.wait(STOP_LIMIT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        return process.wait()
--- /dev/null
+++ b/emulator/link.py
@@ -0,0 +1,162 @@
+"""A stand-in for the narrow link between two regions.
+
+It forwards TCP connections with a delay and a rate, counts what crosses, and
+can cut either way or let established connections go silent.
+"""
+
+import asyncio
+import json
+import signal
+
+import msgspec
+
+from emulator import standin
+
+# Bytes read at one time.
+READ_BYTES = 1 << 16
+
+
+class Forward(msgspec.Struct):
+    """One listening address and where it leads."""
+
+    host: str
+    port: int
+    to_host: str
+    to_port: int
+
+
+class LinkSettings(msgspec.Struct):
+    """What the stand-in is told when it starts."""
+
+    control_host: str
+    control_port: int
+    delay_ms: float
+    bits_per_s: float
+    forwards: list[Forward]
+
+
+class LinkState(msgspec.Struct):
+    """What a test may change.
+
+    :param cut: nothing crosses, and new connections are refused.
+    :param cut_back: answers don't cross; requests do.
+    :param silent_before: connections numbered below it carry nothing more.
+    """
+
+    cut: bool = False
+    cut_back: bool = False
+    silent_before: int = 0
+
+
+class Link:
+    """Forwards connections under a delay and a shared rate."""
+
+    def __init__(self, settings: LinkSettings):
+        self._settings = settings
+        self.state = LinkState()
+        self.connections = 0
+        self.bytes_out = 0
+        self.bytes_back = 0
+        self._free_at = [0.0, 0.0]
+
+    async def serve(self) -> None:
+        """Listen on every forward and on the control port."""
+        for forward in self._settings.forwards:
+            await asyncio.start_server(
+                lambda r, w, f=forward: self._forward(f, r, w),
+                forward.host,
+                forward.port,
+            )
+        await asyncio.start_server(
+            self._control, self._settings.control_host, self._settings.control_port
+        )
+
+    async def _forward(self, forward, reader, writer) -> None:
+        number = self.connections
+        self.connections += 1
+        if self.state.cut:
+            writer.close()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                forward.to_host, forward.to_port
+            )
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(
+            self._pump(number, 0, reader, far_writer),
+            self._pump(number, 1, far_reader, writer),
+        )
+
+    async def _pump(self, number, way, reader, writer) -> None:
+        loop = asyncio.get_running_loop()
+        queue: asyncio.Queue = asyncio.Queue()
+        sender = asyncio.create_task(self._send_late(queue, writer))
+        try:
+            while data := await reader.read(READ_BYTES):
+                if self._blocked(number, way):
+                    continue
+                self._count(way, len(data))
+                queue.put_nowait((self._arrival(way, len(data), loop.time()), data))
+        except OSError:
+            pass
+        queue.put_nowait((loop.time(), b""))
+        await sender
+
+    async def _send_late(self, queue, writer) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            at, data = await queue.get()
+            await asyncio.sleep(at - loop.time())
+            if not data:
+                writer.close()
+                return
+            try:
+                writer.write(data)
+                await writer.drain()
+            except OSError:
+                return
+
+    def _blocked(self, number: int, way: int) -> bool:
+        state = self.state
+        silent = number < state.silent_before
+        return state.cut or silent or (state.cut_back and way == 1)
+
+    def _arrival(self, way: int, size: int, now: float) -> float:
+        sent_at = max(now, self._free_at[way]) + 8 * size / self._settings.bits_per_s
+        self._free_at[way] = sent_at
+        return sent_at + self._settings.delay_ms / 1000
+
+    def _count(self, way: int, size: int) -> None:
+        if way == 0:
+            self.bytes_out += size
+        else:
+            self.bytes_back += size
+
+    async def _control(self, reader, writer) -> None:
+        line = await reader.readline()
+        changed = msgspec.structs.asdict(self.state) | json.loads(line)
+        self.state = msgspec.convert(changed, LinkState)
+        counts = {
+            "connections": self.connections,
+            "bytes_out": self.bytes_out,
+            "bytes_back": self.bytes_back,
+        }
+        writer.write(json.dumps(counts).encode() + b"\n")
+        await writer.drain()
+        writer.close()
+
+
+async def run(settings: LinkSettings) -> None:
+    """Run the stand-in until SIGTERM or SIGINT."""
+    told = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    await Link(settings).serve()
+    await told.wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(run(standin.read_settings(LinkSettings)))
--- /dev/null
+++ b/emulator/load.py
@@ -0,0 +1,195 @@
+"""An open-loop load generator.
+
+Arrivals are laid down beforehand, and each answer is timed from the instant at
+which its request was meant to start; so a stalled system can't hide its tail.
+"""
+
+import collections
+import dataclasses
+import http.client
+import random
+import threading
+import time
+
+import hdrh.histogram
+import urllib3.connection
+import urllib3.exceptions
+
+__all__ = ["LoadResult", "Stream", "run"]
+
+# Range and precision of the histograms, in microseconds.
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 3
+# Pause before the first arrival, in s.
+LEAD_S = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stream:
+    """One kind of request that arrives at random instants.
+
+    :param urls: the daemons (``http://host:port``) called in turn.
+    :param rate: arrivals a second.
+    :param idempotent: the header's value.
+    """
+
+    name: str
+    urls: tuple[str, ...]
+    service: str
+    rank: str
+    rate: float
+    deadline_ms: int = 1000
+    idempotent: bool = True
+    caller: str = "emulator"
+    direct: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class LoadResult:
+    """What became of the requests of one stream."""
+
+    histogram: hdrh.histogram.HdrHistogram
+    outcomes: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    reasons: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    endpoints: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    not_run_ids: list[str] = dataclasses.field(default_factory=list)
+    served_ids: list[str] = dataclasses.field(default_factory=list)
+
+    def percentile_ms(self, percentile: float) -> float:
+        """Return a percentile of the served requests' response times, in ms."""
+        return self.histogram.get_value_at_percentile(percentile) / 1000
+
+
+@dataclasses.dataclass(order=True, slots=True)
+class _Arrival:
+    at: float
+    number: int
+    stream: Stream = dataclasses.field(compare=False)
+
+
+def run(
+    streams: list[Stream], duration_s: float, workers: int, seed: int
+) -> dict[str, LoadResult]:
+    """Send every stream for a while and return what became of it.
+
+    :param streams: the streams, all at one time.
+    :param duration_s: how long requests arrive, in s.
+    :param workers: requests that can be open at one time.
+    :param seed: the seed of the arrival instants.
+    :returns: the results by stream name.
+    """
+    generator = _Generator(streams, _lay_down(streams, duration_s, seed))
+    threads = [threading.Thread(target=generator.work) for _ in range(workers)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return generator.results_by_name
+
+
+def _lay_down(streams, duration_s, seed) -> list[_Arrival]:
+    rng = random.Random(seed)
+    arrivals = []
+    for stream in streams:
+        at = 0.0
+        number = 0
+        while (
+            stream.rate > 0 and (at := at + rng.expovariate(stream.rate)) < duration_s
+        ):
+            arrivals.append(_Arrival(at, number, stream))
+            number += 1
+    return sorted(arrivals, key=lambda arrival: arrival.at)
+
+
+class _Generator:
+    def __init__(self, streams: list[Stream], arrivals: list[_Arrival]):
+        self._arrivals = iter(arrivals)
+        self._lock = threading.Lock()
+        self._started = time.monotonic() + LEAD_S
+        self.results_by_name = {
+            stream.name: LoadResult(
+                hdrh.histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            )
+            for stream in streams
+        }
+
+    def work(self) -> None:
+        connections_by_url: dict[str, urllib3.connection.HTTPConnection] = {}
+        while True:
+            with self._lock:
+                arrival = next(self._arrivals, None)
+            if arrival is None:
+                break
+            at = self._started + arrival.at
+            time.sleep(max(0.0, at - time.monotonic()))
+            self._send(arrival, at, connections_by_url)
+        for connection in connections_by_url.values():
+            connection.close()
+
+    def _send(self, arrival, at, connections_by_url) -> None:
+        stream = arrival.stream
+        url = stream.urls[arrival.number % len(stream.urls)]
+        connection = connections_by_url.get(url)
+        if connection is None:
+            host, _, port = url.removeprefix("http://").partition(":")
+            connection = urllib3.connection.HTTPConnection(
+                host, int(port), timeout=stream.deadline_ms / 1000 + 5
+            )
+            connections_by_url[url] = connection
+        try:
+            connection.request(
+                "GET", "/work", headers=_headers(stream), preload_content=False
+            )
+            response = connection.getresponse()
+            body = response.read()
+        except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError):
+            connection.close()
+            del connections_by_url[url]
+            self._note(stream, None, b"", at)
+            return
+        self._note(stream, response, body, at)
+
+    def _note(self, stream, response, body, at) -> None:
+        elapsed_us = int((time.monotonic() - at) * 1e6)
+        result = self.results_by_name[stream.name]
+        headers = {} if response is None else response.headers
+        with self._lock:
+            if response is None:
+                result.outcomes["no-answer"] += 1
+                return
+            outcome = headers.get("Savoryhollow-Outcome", "served")
+            if outcome == "served" and response.status >= 500:
+                outcome = "failed"
+            result.outcomes[outcome] += 1
+            request_id = headers.get("Savoryhollow-Request-Id", "")
+            if outcome == "served":
+                result.histogram.record_value(elapsed_us)
+                result.endpoints[headers.get("Savoryhollow-Endpoint", "direct")] += 1
+                result.served_ids.append(request_id)
+            elif outcome == "not-run":
+                result.reasons[_reason(body)] += 1
+                result.not_run_ids.append(request_id)
+
+
+def _headers(stream: Stream) -> dict[str, str]:
+    if stream.direct:
+        return {}
+    return {
+        "Savoryhollow-Service": stream.service,
+        "Savoryhollow-Rank": stream.rank,
+        "Savoryhollow-Deadline-Ms": str(stream.deadline_ms),
+        "Savoryhollow-Idempotent": "true" if stream.idempotent else "false",
+        "Savoryhollow-Caller": stream.caller,
+    }
+
+
+def _reason(body: bytes) -> str:
+    _, _, rest = body.partition(b'"reason": "')
+    return rest.partition(b'"')[0].decode()
--- /dev/null
+++ b/src/savoryhollow/__init__.py
@@ -0,0 +1,1 @@
+"""A load balancer for servers whose load shifts in milliseconds."""
--- /dev/null
+++ b/src/savoryhollow/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission: which request holds a slot of the backend server, and when."""
--- /dev/null
+++ b/src/savoryhollow/admission/gate.py
@@ -0,0 +1,204 @@
+"""The only way into a backend server.
+
+The gate knows exactly which requests run there, which wait, and what became of
+those that ended. It alone decides; every report held elsewhere is a hint.
+"""
+
+import collections.abc
+import threading
+import time
+import typing
+
+from savoryhollow import calls, errors
+from savoryhollow.admission import queueing
+from savoryhollow.backend import client as backend_client
+from savoryhollow.recovery import register
+from savoryhollow.wire import messages
+
+__all__ = ["Gate", "GateAnswer"]
+
+RunBackend = collections.abc.Callable[
+    [messages.CallMessage, float], backend_client.BackendAnswer
+]
+GateAnswer: typing.TypeAlias = (
+    messages.ServedMessage | messages.NotRunMessage | messages.UnknownMessage
+)
+
+
+class _Admission:
+    """One request inside the gate and the thread that waits for its slot."""
+
+    __slots__ = ("entry", "granted")
+
+    def __init__(self, entry: queueing.Entry):
+        self.entry = entry
+        self.granted = threading.Event()
+
+
+class Gate:
+    """Admits calls to one backend server.
+
+    :param queue: the slots and the queue in front of them.
+    :param outcomes: remembers what became of each request.
+    :param run_backend: sends a call to the backend server by a deadline and
+        returns its whole answer.
+    """
+
+    def __init__(
+        self,
+        queue: queueing.AdmissionQueue,
+        outcomes: register.OutcomeRegister,
+        run_backend: RunBackend,
+    ):
+        self._queue = queue
+        self._outcomes = outcomes
+        self._run_backend = run_backend
+        self._lock = threading.Lock()
+        self._admissions_by_id: dict[str, _Admission] = {}
+        self._idle = threading.Condition(self._lock)
+        self._in_progress = 0
+        self.leaving = False
+
+    # -----------------------------------------------------------------------
+    #   Calls
+    # -----------------------------------------------------------------------
+
+    def serve(self, call: messages.CallMessage) -> GateAnswer:
+        """Run a call on the backend server, or say truthfully what happened.
+
+        :param call: the call, with the time that remains for it.
+        :returns: the answer; it is remembered until its deadline.
+        """
+        now = time.monotonic()
+        deadline = now + call.remaining_us / 1e6
+        if not self._outcomes.begin(call.request_id, deadline, now):
+            return self._refuse(call, calls.NotRunReason.BARRED)
+        with self._lock:
+            self._in_progress += 1
+        try:
+            answer = self._admit_and_run(call, deadline)
+        finally:
+            with self._lock:
+                self._in_progress -= 1
+                self._idle.notify_all()
+        self._outcomes.finish(call.request_id, answer, time.monotonic())
+        return answer
+
+    def _admit_and_run(self, call, deadline) -> GateAnswer:
+        reason = self._acquire(call, deadline)
+        if reason is not None:
+            return self._refuse(call, reason)
+        started = time.monotonic()
+        try:
+            answer = self._run_backend(call, deadline)
+        except errors.BackendError as error:
+            if not error.started:
+                return self._refuse(call, calls.NotRunReason.UNREACHABLE)
+            return messages.UnknownMessage(call.request_id, str(error), self.report())
+        finally:
+            self._release(time.monotonic() - started)
+        return messages.ServedMessage(
+            call.request_id, answer.status, answer.headers, answer.body, self.report()
+        )
+
+    def _refuse(self, call, reason) -> messages.NotRunMessage:
+        with self._lock:
+            retry_after_ms = self._queue.retry_after_ms()
+        return messages.NotRunMessage(
+            call.request_id, reason, retry_after_ms, self.report()
+        )
+
+    # -----------------------------------------------------------------------
+    #   Slots
+    # -----------------------------------------------------------------------
+
+    def _acquire(self, call, deadline) -> calls.NotRunReason | None:
+        entry = queueing.Entry(call.request_id, call.rank, call.caller, deadline)
+        admission = _Admission(entry)
+        with self._lock:
+            if self.leaving:
+                return calls.NotRunReason.LEAVING
+            reason = self._queue.offer(entry, time.monotonic())
+            if reason is not None:
+                return reason
+            self._admissions_by_id[call.request_id] = admission
+            self._grant()
+        granted = admission.granted.wait(max(0.0, deadline - time.monotonic()))
+        with self._lock:
+            self._admissions_by_id.pop(call.request_id, None)
+            if not granted and not admission.granted.is_set():
+                self._queue.withdraw(entry)
+                return calls.NotRunReason.DEADLINE
+        if entry.cancelled:
+            return calls.NotRunReason.CANCELLED
+        return calls.NotRunReason.DEADLINE if entry.expired else None
+
+    def _grant(self) -> None:
+        while (entry := self._queue.take(time.monotonic())) is not None:
+            self._admissions_by_id[entry.request_id].granted.set()
+
+    def _release(self, held_s: float) -> None:
+        with self._lock:
+            self._queue.release(held_s)
+            self._grant()
+
+    def configure(
+        self, limit: int, rules_by_rank: dict[str, queueing.RankRule]
+    ) -> None:
+        """Put new rules in force; requests inside keep their place.
+
+        :param limit: requests that may wait.
+        :param rules_by_rank: the rule of each rank.
+        """
+        with self._lock:
+            self._queue.limit = limit
+            self._queue.rules_by_rank = rules_by_rank
+
+    # -----------------------------------------------------------------------
+    #   Other messages
+    # -----------------------------------------------------------------------
+
+    def answer_aside(self, message: messages.Message) -> messages.Message | None:
+        """Answer a message that asks for no slot.
+
+        :param message: a cancellation or a resolve request.
+        :returns: the answer, or None where there is none.
+        """
+        if isinstance(message, messages.CancelMessage):
+            self.cancel(message.request_id)
+        elif isinstance(message, messages.ResolveMessage):
+            return self.resolve(message)
+        return None
+
+    def resolve(self, message: messages.ResolveMessage) -> messages.ResolutionMessage:
+        """Say what became of a request; one never seen is barred from now on."""
+        return self._outcomes.resolve(message.request_id, time.monotonic())
+
+    def cancel(self, request_id: str) -> None:
+        """Withdraw a request that still waits; one that runs is left to end."""
+        with self._lock:
+            admission = self._admissions_by_id.get(request_id)
+            if admission is not None and not admission.granted.is_set():
+                self._queue.withdraw(admission.entry)
+                admission.granted.set()
+
+    def report(self) -> messages.LoadReport:
+        """Return the load of the backend server as it is now."""
+        queue = self._queue
+        service_us = int(queue.service_s * 1e6)
+        return messages.LoadReport(
+            queue.busy, queue.waiting, queue.slots, service_us, self.leaving
+        )
+
+    def drain(self, deadline: float) -> bool:
+        """Refuse new calls and wait until those in progress have ended.
+
+        :param deadline: the monotonic instant to stop waiting at.
+        :returns: whether every call has ended.
+        """
+        with self._lock:
+            self.leaving = True
+            while self._in_progress:
+                if not self._idle.wait(deadline - time.monotonic()):
+                    return self._in_progress == 0
+        return True
--- /dev/null
+++ b/src/savoryhollow/backend/__init__.py
@@ -0,0 +1,1 @@
+"""Towards backend servers: HTTP through urllib3."""
--- /dev/null
+++ b/src/savoryhollow/budgets/__init__.py
@@ -0,0 +1,1 @@
+"""The budgets that operators set, kept by each process in shares."""
--- /dev/null
+++ b/src/savoryhollow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/savoryhollow/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration that operators publish: models, folder merge, acceptance."""
--- /dev/null
+++ b/src/savoryhollow/configuration/merging.py
@@ -0,0 +1,93 @@
+"""Merge a folder of small JSON files in the order of their names.
+
+Objects merge key by key; any other value of a later file replaces the earlier
+one, a list as a whole; ``null`` takes the key out.
+"""
+
+import dataclasses
+import pathlib
+import typing
+
+from savoryhollow import errors
+from savoryhollow.settings import validation
+
+__all__ = ["Merged", "merge", "read_folder"]
+
+
+@dataclasses.dataclass(slots=True)
+class Merged:
+    """A merged document.
+
+    :param document: the merged JSON object.
+    :param origins_by_path: the file that set the value at each dotted path.
+    """
+
+    document: dict[str, typing.Any]
+    origins_by_path: dict[str, str]
+
+    def origin(self, path: str) -> str:
+        """Return the file that set the value at a path, or its nearest parent."""
+        while path:
+            if path in self.origins_by_path:
+                return self.origins_by_path[path]
+            path = path.rpartition(".")[0]
+        return "the folder"
+
+
+def read_folder(folder: pathlib.Path) -> dict[str, str]:
+    """Read the files of a configuration folder.
+
+    :param folder: a folder of ``*.json`` files.
+    :returns: the texts by file name.
+    :raises errors.ConfigurationError: where the folder can't be read.
+    """
+    try:
+        return {path.name: path.read_text() for path in sorted(folder.glob("*.json"))}
+    except (OSError, UnicodeDecodeError) as error:
+        problem = errors.Problem(str(folder), "$", "-", f"make it readable: {error}")
+        raise errors.ConfigurationError([problem]) from error
+
+
+def merge(texts_by_name: dict[str, str]) -> Merged:
+    """Merge files in the order of their names.
+
+    :param texts_by_name: the texts of the files.
+    :returns: the merged document and its origins.
+    :raises errors.ConfigurationError: with the faults of every file.
+    """
+    merged = Merged({}, {})
+    problems: list[errors.Problem] = []
+    for name in sorted(texts_by_name):
+        try:
+            document = validation.parse_object(texts_by_name[name], name)
+        except errors.ConfigurationError as error:
+            problems.extend(error.problems)
+            continue
+        _merge_object(merged.document, document, name, "", merged.origins_by_path)
+    if problems:
+        raise errors.ConfigurationError(problems)
+    return merged
+
+
+def _merge_object(target, source, name, path, origins_by_path) -> None:
+    for key, value in source.items():
+        at = f"{path}.{key}" if path else key
+        if value is None:
+            target.pop(key, None)
+            _drop_origins(origins_by_path, at)
+        elif isinstance(value, dict):
+            if not isinstance(target.get(key), dict):
+                target[key] = {}
+                _drop_origins(origins_by_path, at)
+            origins_by_path.setdefault(at, name)
+            _merge_object(target[key], value, name, at, origins_by_path)
+        else:
+            target[key] = value
+            _drop_origins(origins_by_path, at)
+            origins_by_path[at] = name
+
+
+def _drop_origins(origins_by_path: dict[str, str], path: str) -> None:
+    below = path + "."
+    for known in [p for p in origins_by_path if p == path or p.startswith(below)]:
+        del origins_by_path[known]
--- /dev/null
+++ b/src/savoryhollow/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: one process beside each backend server."""
--- /dev/null
+++ b/src/savoryhollow/daemon/__main__.py
@@ -0,0 +1,13 @@
+"""Run a daemon without the command line's libraries, to keep it small."""
+
+import pathlib
+import sys
+
+from savoryhollow import errors
+from savoryhollow.daemon import process
+
+if __name__ == "__main__":
+    try:
+        sys.exit(process.run(pathlib.Path(sys.argv[1])))
+    except errors.SettingsError as error:
+        sys.exit(str(error))
--- /dev/null
+++ b/src/savoryhollow/daemon/assembly.py
@@ -0,0 +1,165 @@
+"""Put the parts of a daemon together."""
+
+import random
+import secrets
+import time
+import urllib.parse
+
+from savoryhollow import webserver
+from savoryhollow.admission import gate as gate_module
+from savoryhollow.admission import queueing
+from savoryhollow.backend import client as backend_client
+from savoryhollow.configuration import models
+from savoryhollow.daemon import dump
+from savoryhollow.front import service as front_service
+from savoryhollow.membership import table
+from savoryhollow.observe import events, operator_port, placements
+from savoryhollow.recovery import register
+from savoryhollow.routing import peers, placement, router
+from savoryhollow.settings import models as settings_models
+from savoryhollow.store import client as store_client
+from savoryhollow.store import reader
+from savoryhollow.wire import messages, server
+
+__all__ = ["Daemon"]
+
+# Length of an incarnation, in random bytes.
+INCARNATION_BYTES = 8
+# Threads of the operator port.
+OPERATOR_THREADS = 2
+
+
+class Daemon:
+    """The router and the gate of one instance, with their ports.
+
+    :param settings: the settings of the daemon.
+    """
+
+    def __init__(self, settings: settings_models.DaemonSettings):
+        self.settings = settings
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.members = table.MemberTable()
+        self.placements = placements.PlacementRing()
+        hello = messages.HelloMessage(
+            messages.PROTOCOL_VERSION, settings.endpoint_id, self.incarnation
+        )
+        self._build_gate()
+        self._build_router(hello)
+        self._build_store()
+        self._build_ports(hello)
+
+    def start(self) -> None:
+        """Open every port and begin to follow the platform."""
+        self._reader.start()
+        self._inner.start()
+        self._operator.start()
+        self._front.start()
+        events.emit(
+            events.Event.DAEMON_STARTED,
+            endpoint_id=self.settings.endpoint_id,
+            incarnation=self.incarnation,
+            front_port=self._front.port,
+            inner_port=self._inner.port,
+            operator_port=self._operator.port,
+        )
+
+    def stop(self) -> bool:
+        """Finish every request in progress and close.
+
+        :returns: whether all had ended before the drain limit.
+        """
+        events.emit(events.Event.DAEMON_STOPPING)
+        deadline = time.monotonic() + self.settings.drain_limit_ms / 1000
+        drained = self.gate.drain(deadline)
+        self._front.stop()
+        self._reader.stop()
+        self._inner.stop()
+        self._connections.close()
+        self._operator.stop()
+        self._backend.close()
+        events.emit(events.Event.DAEMON_STOPPED, drained=drained)
+        return drained
+
+    # -----------------------------------------------------------------------
+    #   Parts
+    # -----------------------------------------------------------------------
+
+    def _build_gate(self) -> None:
+        settings = self.settings
+        self._backend = backend_client.BackendClient(
+            settings.backend.host, settings.backend.port, settings.max_body_bytes
+        )
+        self._queue = queueing.AdmissionQueue(settings.slots, 0, {})
+        self.outcomes = register.OutcomeRegister()
+        self.gate = gate_module.Gate(self._queue, self.outcomes, self._backend.run)
+
+    def _build_router(self, hello: messages.HelloMessage) -> None:
+        settings = self.settings
+        vantage = placement.Vantage(
+            settings.endpoint_id, settings.region, settings.zone
+        )
+        self._connections = peers.PeerConnections(hello)
+        policy = placement.make_policy(settings.placement, vantage, random.Random())
+        self.router = router.Router(
+            vantage,
+            self.incarnation,
+            self.members,
+            self._connections,
+            self.gate,
+            policy,
+            self.placements.add,
+        )
+
+    def _build_store(self) -> None:
+        settings = self.settings
+        self.store = store_client.StoreClient(
+            settings.store.host, settings.store.port, settings.region
+        )
+        self.holder = reader.ConfigurationHolder(self._configure)
+        self._reader = reader.StoreReader(self.store, self.holder, self.members)
+
+    def _build_ports(self, hello: messages.HelloMessage) -> None:
+        settings = self.settings
+        self._inner = server.InnerServer(
+            settings.inner.host,
+            settings.inner.port,
+            hello,
+            self.gate.serve,
+            self.gate.answer_aside,
+        )
+        self._front = webserver.WebServer(
+            settings.front.host,
+            settings.front.port,
+            settings.front_threads,
+            settings.max_body_bytes,
+            front_service.make_handler(
+                lambda: self.router.configuration, self.router.route, self.router.redeem
+            ),
+        )
+        self._operator = webserver.WebServer(
+            settings.operator.host,
+            settings.operator.port,
+            OPERATOR_THREADS,
+            settings.max_body_bytes,
+            operator_port.make_handler(
+                {
+                    "/dump": lambda _: dump.dump_daemon(self),
+                    "/placements": lambda _: self.placements.totals(),
+                    "/trace": self._trace,
+                }
+            ),
+        )
+
+    def _configure(self, configuration: models.Configuration) -> None:
+        self.router.configure(configuration)
+        own = configuration.services.get(self.settings.service)
+        if own is not None:
+            rules = {
+                name: queueing.RankRule(rank.order, rank.floor, rank.worth)
+                for name, rank in own.ranks.items()
+            }
+            self.gate.configure(own.queue_limit, rules)
+
+    def _trace(self, address: urllib.parse.SplitResult) -> list[dict]:
+        request_id = urllib.parse.parse_qs(address.query).get("id", [""])[0]
+        return dump.plain(self.placements.find(request_id))
--- /dev/null
+++ b/src/savoryhollow/daemon/process.py
@@ -0,0 +1,35 @@
+"""Run a daemon until it is told to stop."""
+
+import gc
+import pathlib
+import signal
+import threading
+
+from absl import logging
+
+from savoryhollow.daemon import assembly
+from savoryhollow.settings import loading
+
+__all__ = ["run"]
+
+
+def run(path: pathlib.Path) -> int:
+    """Run a daemon until SIGTERM or SIGINT.
+
+    :param path: its settings file.
+    :returns: the exit status: 0 where every request had ended, else 1.
+    :raises errors.SettingsError: where the settings are rejected.
+    """
+    settings = loading.load_daemon_settings(path)
+    logging.set_verbosity(logging.INFO)
+    logging.use_absl_handler()
+    told = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: told.set())
+    daemon = assembly.Daemon(settings)
+    daemon.start()
+    gc.collect()
+    # What is alive now lives as long as the process; keep the collector off it.
+    gc.freeze()
+    told.wait()
+    return 0 if daemon.stop() else 1
--- /dev/null
+++ b/src/savoryhollow/front/__init__.py
@@ -0,0 +1,1 @@
+"""Towards callers: plain HTTP/1.1."""
--- /dev/null
+++ b/src/savoryhollow/front/answering.py
@@ -0,0 +1,82 @@
+"""Turn an outcome into the HTTP answer that a caller gets."""
+
+import json
+import math
+
+from savoryhollow import calls, webserver
+
+__all__ = ["answer_bad_request", "answer_outcome", "ticket_text"]
+
+OUTCOME = "Savoryhollow-Outcome"
+REQUEST_ID = "Savoryhollow-Request-Id"
+ENDPOINT = "Savoryhollow-Endpoint"
+TICKET = "Savoryhollow-Ticket"
+
+
+def answer_outcome(outcome: calls.Outcome) -> webserver.HttpAnswer:
+    """Return the answer for an outcome.
+
+    :param outcome: what became of the call.
+    :returns: the backend server's own answer where it served the call, else a
+        JSON body that says what happened and what the caller may do.
+    """
+    if isinstance(outcome, calls.Served):
+        headers = (
+            *outcome.headers,
+            calls.Header(OUTCOME, "served"),
+            calls.Header(REQUEST_ID, outcome.request_id),
+            calls.Header(ENDPOINT, outcome.endpoint_id),
+        )
+        return webserver.HttpAnswer(outcome.status, headers, outcome.body)
+    if isinstance(outcome, calls.NotRun):
+        return _answer_not_run(outcome)
+    if isinstance(outcome, calls.Unknown):
+        return _answer_unknown(outcome)
+    remedy = "it may have run; it is idempotent, so send it again"
+    return _answer(504, "timed-out", outcome.request_id, remedy)
+
+
+def answer_bad_request(error: Exception) -> webserver.HttpAnswer:
+    """Return the answer for a request that can't be understood."""
+    return _answer(400, "bad-request", "", str(error))
+
+
+def ticket_text(ticket: calls.Ticket) -> str:
+    """Return a ticket as callers carry it."""
+    return f"{ticket.request_id}/{ticket.endpoint_id}/{ticket.incarnation}"
+
+
+def _answer_not_run(outcome: calls.NotRun) -> webserver.HttpAnswer:
+    seconds = str(math.ceil(outcome.retry_after_ms / 1000))
+    return _answer(
+        503,
+        "not-run",
+        outcome.request_id,
+        "it was not run and will not be; send it again later",
+        (calls.Header("Retry-After", seconds),),
+        reason=str(outcome.reason),
+        retry_after_ms=outcome.retry_after_ms,
+    )
+
+
+def _answer_unknown(outcome: calls.Unknown) -> webserver.HttpAnswer:
+    ticket = ticket_text(outcome.ticket)
+    return _answer(
+        502,
+        "unknown",
+        outcome.request_id,
+        f"it may have run ({outcome.detail}); ask with the ticket",
+        (calls.Header(TICKET, ticket),),
+        ticket=ticket,
+    )
+
+
+def _answer(status, outcome, request_id, remedy, headers=(), **more):
+    document = {"outcome": outcome, "request_id": request_id, "remedy": remedy} | more
+    common = (
+        calls.Header("Content-Type", "application/json"),
+        calls.Header(OUTCOME, outcome),
+        calls.Header(REQUEST_ID, request_id),
+    )
+    body = json.dumps(document).encode()
+    return webserver.HttpAnswer(status, common + tuple(headers), body)
--- /dev/null
+++ b/src/savoryhollow/front/parsing.py
@@ -0,0 +1,179 @@
+"""Turn a caller's HTTP request into a call.
+
+Pure computation: no sockets and no clocks.
+"""
+
+import dataclasses
+import re
+
+from savoryhollow import calls, errors, webserver
+from savoryhollow.configuration import models
+
+__all__ = ["ParsedRequest", "parse"]
+
+PREFIX = "Savoryhollow-"
+SERVICE = "Savoryhollow-Service"
+RANK = "Savoryhollow-Rank"
+CALLER = "Savoryhollow-Caller"
+DEADLINE_MS = "Savoryhollow-Deadline-Ms"
+REQUEST_ID = "Savoryhollow-Request-Id"
+IDEMPOTENT = "Savoryhollow-Idempotent"
+DEPTH = "Savoryhollow-Depth"
+ATTEMPTS_LEFT = "Savoryhollow-Attempts-Left"
+TICKET = "Savoryhollow-Ticket"
+KNOWN_HEADERS = frozenset(
+    (SERVICE, RANK, CALLER, DEADLINE_MS, REQUEST_ID, IDEMPOTENT, DEPTH, ATTEMPTS_LEFT)
+    + (TICKET,)
+)
+# A key that the system can't honour is refused, never ignored.
+IDEMPOTENCY_KEY = "Idempotency-Key"
+
+# Deadline of a request that names none, and the longest one, in ms.
+DEFAULT_DEADLINE_MS = 10_000
+MAX_DEADLINE_MS = 600_000
+# How deep calls may go, and the attempts of a whole tree of calls.
+MAX_DEPTH = 32
+DEFAULT_ATTEMPTS = 6
+MAX_ATTEMPTS = 64
+# Headers that belong to one connection and are never passed on.
+HOP_HEADERS = frozenset(
+    "connection keep-alive transfer-encoding content-length te trailer upgrade host "
+    "proxy-authorization proxy-authenticate expect".split()
+)
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,63}")
+_METHODS = frozenset(("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ParsedRequest:
+    """A call and, where the caller asks for an earlier one, its ticket."""
+
+    call: calls.Call
+    ticket: calls.Ticket | None
+
+
+def parse(
+    request: webserver.HttpRequest, configuration: models.Configuration, now: float
+) -> ParsedRequest:
+    """Parse a caller's request.
+
+    :param request: the request as it came.
+    :param configuration: the configuration in force, for a rank's defaults.
+    :param now: the present instant.
+    :returns: the call and its ticket.
+    :raises errors.BadRequestError: naming the header and what to send instead.
+    """
+    fields = _fields(request)
+    service = _name(fields, SERVICE)
+    rank = _name(fields, RANK)
+    idempotent = _idempotent(fields, configuration, service, rank)
+    ticket = _ticket(fields)
+    request_id = _request_id(fields, idempotent, ticket)
+    remaining_ms = _number(fields, DEADLINE_MS, DEFAULT_DEADLINE_MS, 1, MAX_DEADLINE_MS)
+    call = calls.Call(
+        request_id=request_id,
+        service=service,
+        rank=rank,
+        caller=_name(fields, CALLER, "anonymous"),
+        deadline=now + remaining_ms / 1000,
+        idempotent=idempotent,
+        depth=_number(fields, DEPTH, 0, 0, MAX_DEPTH),
+        attempts_left=_number(fields, ATTEMPTS_LEFT, DEFAULT_ATTEMPTS, 1, MAX_ATTEMPTS),
+        method=_method(request),
+        path=_path(request),
+        headers=_passed_on(request),
+        body=request.body,
+    )
+    return ParsedRequest(call, ticket)
+
+
+def _fields(request: webserver.HttpRequest) -> dict[str, str]:
+    fields = {header.name.title(): header.value for header in request.headers}
+    if IDEMPOTENCY_KEY in fields:
+        text = f"{IDEMPOTENCY_KEY} can't be honoured; repeat with {TICKET} instead"
+        raise errors.BadRequestError(text)
+    for name in fields:
+        if name.startswith(PREFIX) and name not in KNOWN_HEADERS:
+            known = ", ".join(sorted(KNOWN_HEADERS))
+            raise errors.BadRequestError(f"{name} is unknown; known are {known}")
+    return fields
+
+
+def _name(fields: dict[str, str], header: str, default: str | None = None) -> str:
+    value = fields.get(header, default)
+    if value is None:
+        raise errors.BadRequestError(f"{header} is missing; send it")
+    if not _NAME.fullmatch(value):
+        text = f"{header} is no name; use 1 to 64 letters, digits and . _ : -"
+        raise errors.BadRequestError(text)
+    return value
+
+
+def _number(fields, header, default, lowest, highest) -> int:
+    text = fields.get(header)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit() and len(text) < 10):
+        raise errors.BadRequestError(f"{header} is no whole number; send digits")
+    if not lowest <= int(text) <= highest:
+        raise errors.BadRequestError(f"{header} must be {lowest} to {highest}")
+    return int(text)
+
+
+def _idempotent(fields, configuration, service, rank) -> bool:
+    text = fields.get(IDEMPOTENT)
+    if text is not None:
+        if text not in ("true", "false"):
+            raise errors.BadRequestError(f"{IDEMPOTENT} must be true or false")
+        return text == "true"
+    known = configuration.services.get(service)
+    if known is None or rank not in known.ranks:
+        return False
+    return known.ranks[rank].idempotent
+
+
+def _ticket(fields: dict[str, str]) -> calls.Ticket | None:
+    text = fields.get(TICKET)
+    if text is None:
+        return None
+    parts = text.split("/")
+    if len(parts) != 3 or not all(_NAME.fullmatch(part) for part in parts):
+        raise errors.BadRequestError(f"{TICKET} is no ticket; send it as it was given")
+    return calls.Ticket(*parts)
+
+
+def _request_id(fields, idempotent, ticket) -> str:
+    if REQUEST_ID not in fields:
+        return calls.new_request_id()
+    if not idempotent and ticket is None:
+        text = (
+            f"{REQUEST_ID} promises nothing for a non-idempotent request;"
+            f" leave it out, and repeat only with {TICKET}"
+        )
+        raise errors.BadRequestError(text)
+    return _name(fields, REQUEST_ID)
+
+
+def _method(request: webserver.HttpRequest) -> str:
+    if request.method not in _METHODS:
+        raise errors.BadRequestError(f"method {request.method!r} is not passed on")
+    return request.method
+
+
+def _path(request: webserver.HttpRequest) -> str:
+    path = request.path
+    if not path.startswith("/") or not path.isascii() or not path.isprintable():
+        raise errors.BadRequestError("the path must start with / and be plain ASCII")
+    if " " in path:
+        raise errors.BadRequestError("the path has a space in it; percent-encode it")
+    return path
+
+
+def _passed_on(request: webserver.HttpRequest) -> tuple[calls.Header, ...]:
+    return tuple(
+        header
+        for header in request.headers
+        if header.name.lower() not in HOP_HEADERS
+        and not header.name.title().startswith(PREFIX)
+    )
--- /dev/null
+++ b/src/savoryhollow/front/service.py
@@ -0,0 +1,38 @@
+"""Answer callers: parse, route, answer."""
+
+import collections.abc
+import time
+
+from savoryhollow import calls, errors, webserver
+from savoryhollow.configuration import models
+from savoryhollow.front import answering, parsing
+
+__all__ = ["make_handler"]
+
+Route = collections.abc.Callable[[calls.Call], calls.Outcome]
+Redeem = collections.abc.Callable[[calls.Call, calls.Ticket], calls.Outcome]
+
+
+def make_handler(
+    configuration: collections.abc.Callable[[], models.Configuration],
+    route: Route,
+    redeem: Redeem,
+) -> webserver.Handler:
+    """Return the function that answers callers.
+
+    :param configuration: returns the configuration in force.
+    :param route: takes a call to an endpoint.
+    :param redeem: takes a call to the one endpoint that a ticket names.
+    :returns: a handler for a web server.
+    """
+
+    def handle(request: webserver.HttpRequest) -> webserver.HttpAnswer:
+        try:
+            parsed = parsing.parse(request, configuration(), time.monotonic())
+        except errors.BadRequestError as error:
+            return answering.answer_bad_request(error)
+        if parsed.ticket is not None:
+            return answering.answer_outcome(redeem(parsed.call, parsed.ticket))
+        return answering.answer_outcome(route(parsed.call))
+
+    return handle
--- /dev/null
+++ b/src/savoryhollow/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: which endpoints exist, and in which state."""
--- /dev/null
+++ b/src/savoryhollow/observe/__init__.py
@@ -0,0 +1,1 @@
+"""What operators see: events, metrics, dumps and placement records."""
--- /dev/null
+++ b/src/savoryhollow/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: which endpoint gets a request, and what happens when it fails."""
--- /dev/null
+++ b/src/savoryhollow/routing/peers.py
@@ -0,0 +1,61 @@
+"""Connections to other daemons, one for each."""
+
+import threading
+
+from savoryhollow import errors
+from savoryhollow.membership import table
+from savoryhollow.wire import channel, exchange, messages
+
+__all__ = ["PeerConnections"]
+
+
+class PeerConnections:
+    """Opens a connection to a daemon when it is first needed.
+
+    :param hello: the greeting of this process.
+    """
+
+    def __init__(self, hello: messages.HelloMessage):
+        self._hello = hello
+        self._lock = threading.Lock()
+        self._locks_by_id: dict[str, threading.Lock] = {}
+        self._exchanges_by_id: dict[str, exchange.Exchange] = {}
+
+    def open(self, endpoint: table.Endpoint) -> exchange.Exchange:
+        """Return the connection to an endpoint's daemon.
+
+        :param endpoint: the endpoint.
+        :returns: an open exchange with the daemon of that very endpoint.
+        :raises errors.WireError: where no connection came about.
+        """
+        known = self._exchanges_by_id.get(endpoint.endpoint_id)
+        if known is not None and not known.closed:
+            return known
+        with self._lock:
+            lock = self._locks_by_id.setdefault(endpoint.endpoint_id, threading.Lock())
+        with lock:
+            known = self._exchanges_by_id.get(endpoint.endpoint_id)
+            if known is None or known.closed:
+                known = self._connect(endpoint)
+                self._exchanges_by_id[endpoint.endpoint_id] = known
+            return known
+
+    def renew(self, endpoint: table.Endpoint) -> exchange.Exchange:
+        """Close the connection to an endpoint's daemon and open a new one."""
+        known = self._exchanges_by_id.get(endpoint.endpoint_id)
+        if known is not None:
+            known.close()
+        return self.open(endpoint)
+
+    def close(self) -> None:
+        """Close every connection."""
+        for known in list(self._exchanges_by_id.values()):
+            known.close()
+
+    def _connect(self, endpoint: table.Endpoint) -> exchange.Exchange:
+        opened, peer = channel.connect(endpoint.host, endpoint.port, self._hello)
+        if peer.endpoint_id != endpoint.endpoint_id:
+            opened.close()
+            text = f"{peer.endpoint_id} answers for {endpoint.endpoint_id}; wait"
+            raise errors.ChannelClosedError(text)
+        return exchange.Exchange(opened, peer)
--- /dev/null
+++ b/src/savoryhollow/routing/router.py
@@ -0,0 +1,277 @@
+"""Take a call to an endpoint that can serve it, and account for it."""
+
+import dataclasses
+import threading
+import time
+import typing
+
+from savoryhollow import calls, errors
+from savoryhollow.admission import gate as gate_module
+from savoryhollow.configuration import models
+from savoryhollow.membership import table
+from savoryhollow.observe import placements
+from savoryhollow.recovery import retrying
+from savoryhollow.routing import evidence, peers, placement
+from savoryhollow.wire import exchange, messages
+
+__all__ = ["Router"]
+
+# Time kept back for asking what became of a request, in s.
+RESOLVE_LIMIT_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Result:
+    """What one attempt came to."""
+
+    incarnation: str
+    answer: exchange.Answer | None
+    lost: bool = False
+
+
+class Router:
+    """Places calls on endpoints.
+
+    :param vantage: where this process stands.
+    :param incarnation: the incarnation of this process.
+    :param members: the endpoints known.
+    :param connections: the connections to other daemons.
+    :param local_gate: the gate of this process.
+    :param policy: chooses among candidates.
+    :param record: keeps a record of each placement.
+    """
+
+    def __init__(
+        self,
+        vantage: placement.Vantage,
+        incarnation: str,
+        members: table.MemberTable,
+        connections: peers.PeerConnections,
+        local_gate: gate_module.Gate,
+        policy: placement.Policy,
+        record: typing.Callable[[placements.PlacementRecord], None],
+    ):
+        self._vantage = vantage
+        self._incarnation = incarnation
+        self._members = members
+        self._connections = connections
+        self._local_gate = local_gate
+        self._policy = policy
+        self._record = record
+        self._lock = threading.Lock()
+        self._evidence_by_id: dict[str, evidence.EndpointEvidence] = {}
+        self._budgets_by_service: dict[str, retrying.RetryBudget] = {}
+        self._configuration = models.Configuration({})
+
+    def configure(self, configuration: models.Configuration) -> None:
+        """Put a configuration in force."""
+        budgets = {
+            name: retrying.RetryBudget(service.budgets.retry_ratio)
+            for name, service in configuration.services.items()
+        }
+        with self._lock:
+            self._configuration = configuration
+            self._budgets_by_service = budgets | {
+                name: budget
+                for name, budget in self._budgets_by_service.items()
+                if name in budgets and budget.ratio == budgets[name].ratio
+            }
+
+    @property
+    def configuration(self) -> models.Configuration:
+        """The configuration in force."""
+        return self._configuration
+
+    # -----------------------------------------------------------------------
+    #   Routing
+    # -----------------------------------------------------------------------
+
+    def route(self, call: calls.Call) -> calls.Outcome:
+        """Place a call until it is served, refused, or its outcome is unknown.
+
+        :param call: the call.
+        :returns: its outcome.
+        """
+        service = self._configuration.services.get(call.service)
+        if service is None:
+            return _not_run(call, calls.NotRunReason.UNKNOWN_SERVICE)
+        if call.rank not in service.ranks:
+            return _not_run(call, calls.NotRunReason.UNKNOWN_RANK)
+        budget = self._budgets_by_service[call.service]
+        budget.deposit()
+        limit = min(service.attempts, call.attempts_left)
+        tried: set[str] = set()
+        outcome: calls.Outcome = _not_run(call, calls.NotRunReason.NO_ENDPOINT)
+        for attempt in range(max(1, limit)):
+            if attempt and not budget.withdraw():
+                return outcome
+            candidate = self._choose(call, tried)
+            if candidate is None:
+                return outcome
+            tried.add(candidate.endpoint.endpoint_id)
+            outcome = self._attempt(call, candidate, attempt)
+            if not retrying.may_place_again(call, outcome, time.monotonic()):
+                return outcome
+        return outcome
+
+    def redeem(self, call: calls.Call, ticket: calls.Ticket) -> calls.Outcome:
+        """Ask the one endpoint that a ticket names what became of a request.
+
+        :param call: the call, for its deadline.
+        :param ticket: the ticket that the caller was given.
+        :returns: the answer, not run where it is barred for good, or unknown.
+        """
+        endpoint = self._find(call.service, ticket.endpoint_id)
+        if endpoint is None:
+            return calls.Unknown(call.request_id, ticket, "its endpoint is gone")
+        result = self._resolve(endpoint, ticket.request_id, ticket.incarnation)
+        return self._outcome(call, endpoint, ticket.request_id, result)
+
+    def evidence_by_id(self) -> dict[str, evidence.EndpointEvidence]:
+        """Return the evidence held about each endpoint."""
+        with self._lock:
+            return dict(self._evidence_by_id)
+
+    def _find(self, service: str, endpoint_id: str) -> table.Endpoint | None:
+        for endpoint in self._members.endpoints(service):
+            if endpoint.endpoint_id == endpoint_id:
+                return endpoint
+        return None
+
+    def _choose(self, call, tried) -> placement.Candidate | None:
+        now = time.monotonic()
+        with self._lock:
+            candidates = [
+                placement.Candidate(endpoint, self._evidence(endpoint.endpoint_id))
+                for endpoint in self._members.endpoints(call.service)
+                if endpoint.state is table.EndpointState.LIVE
+                and endpoint.endpoint_id not in tried
+            ]
+            if not candidates:
+                return None
+            candidate = self._policy(candidates, now)
+            candidate.evidence.begin()
+            return candidate
+
+    def _evidence(self, endpoint_id: str) -> evidence.EndpointEvidence:
+        return self._evidence_by_id.setdefault(endpoint_id, evidence.EndpointEvidence())
+
+    # -----------------------------------------------------------------------
+    #   One attempt
+    # -----------------------------------------------------------------------
+
+    def _attempt(self, call, candidate, attempt) -> calls.Outcome:
+        endpoint = candidate.endpoint
+        started = time.monotonic()
+        # An id names one attempt, so that a bar at one gate bars no other.
+        attempt_id = f"{call.request_id}.{attempt}"
+        message = _message(call, attempt_id, started)
+        if self._is_local(endpoint):
+            result = _Result(self._incarnation, self._local_gate.serve(message))
+        else:
+            result = self._send(endpoint, message, call.deadline)
+        outcome = self._outcome(call, endpoint, attempt_id, result)
+        self._learn(candidate, result, started)
+        self._record(
+            placements.PlacementRecord(
+                request_id=call.request_id,
+                service=call.service,
+                rank=call.rank,
+                attempt=attempt,
+                endpoint_id=endpoint.endpoint_id,
+                region=endpoint.region,
+                outcome=placements.name_of(outcome),
+                duration_ms=(time.monotonic() - started) * 1e3,
+                ended_unix_s=time.time(),
+            )
+        )
+        return outcome
+
+    def _is_local(self, endpoint: table.Endpoint) -> bool:
+        return endpoint.endpoint_id == self._vantage.endpoint_id
+
+    def _send(self, endpoint, message, deadline) -> _Result:
+        try:
+            opened = self._connections.open(endpoint)
+        except errors.WireError:
+            return _Result("", None)
+        incarnation = opened.peer.incarnation
+        try:
+            answer = opened.request(message, deadline)
+        except errors.WireError:
+            return self._resolve(endpoint, message.request_id, incarnation)
+        if answer is None:
+            opened.post(messages.CancelMessage(message.request_id))
+            return self._resolve(endpoint, message.request_id, incarnation)
+        return _Result(incarnation, answer)
+
+    def _resolve(self, endpoint, attempt_id, incarnation) -> _Result:
+        asked = messages.ResolveMessage(attempt_id)
+        answer: exchange.Answer | None = None
+        if self._is_local(endpoint):
+            if incarnation == self._incarnation:
+                answer = self._local_gate.resolve(asked)
+            return _Result(incarnation, answer, lost=True)
+        try:
+            opened = self._connections.open(endpoint)
+            if opened.peer.incarnation != incarnation:
+                return _Result(incarnation, None, lost=True)
+            answer = opened.request(asked, time.monotonic() + RESOLVE_LIMIT_S)
+        except errors.WireError:
+            return _Result(incarnation, None, lost=True)
+        return _Result(incarnation, answer, lost=True)
+
+    def _outcome(self, call, endpoint, attempt_id, result) -> calls.Outcome:
+        answer = result.answer
+        if isinstance(answer, messages.ResolutionMessage):
+            if answer.state is messages.ResolutionState.BARRED:
+                return _not_run(call, calls.NotRunReason.UNREACHABLE)
+            answer = answer.answer
+        if isinstance(answer, messages.ServedMessage):
+            return calls.Served(
+                call.request_id,
+                endpoint.endpoint_id,
+                answer.status,
+                answer.headers,
+                answer.body,
+            )
+        if isinstance(answer, messages.NotRunMessage):
+            return calls.NotRun(call.request_id, answer.reason, answer.retry_after_ms)
+        if answer is None and not result.lost:
+            return _not_run(call, calls.NotRunReason.UNREACHABLE)
+        if call.idempotent and time.monotonic() >= call.deadline:
+            return calls.TimedOut(call.request_id, endpoint.endpoint_id)
+        ticket = calls.Ticket(attempt_id, endpoint.endpoint_id, result.incarnation)
+        return calls.Unknown(call.request_id, ticket, "the answer was lost")
+
+    def _learn(self, candidate, result, started) -> None:
+        now = time.monotonic()
+        answer = result.answer
+        served = isinstance(answer, messages.ServedMessage) and answer.status < 500
+        report = getattr(answer, "load", None)
+        with self._lock:
+            candidate.evidence.end(report, now - started if served else None, now)
+            refused = isinstance(answer, messages.NotRunMessage)
+            if not served and not refused:
+                candidate.evidence.fail(now)
+
+
+def _not_run(call: calls.Call, reason: calls.NotRunReason) -> calls.NotRun:
+    return calls.NotRun(call.request_id, reason, retrying.RETRY_AFTER_MS)
+
+
+def _message(call: calls.Call, attempt_id: str, now: float) -> messages.CallMessage:
+    return messages.CallMessage(
+        request_id=attempt_id,
+        service=call.service,
+        rank=call.rank,
+        caller=call.caller,
+        remaining_us=max(0, int((call.deadline - now) * 1e6)),
+        idempotent=call.idempotent,
+        depth=call.depth,
+        attempts_left=call.attempts_left,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        body=call.body,
+    )
--- /dev/null
+++ b/src/savoryhollow/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process: models, validation and loading."""
--- /dev/null
+++ b/src/savoryhollow/settings/models.py
@@ -0,0 +1,64 @@
+"""The settings that a daemon reads once, when it starts."""
+
+from typing import Annotated
+
+import msgspec
+
+__all__ = ["Address", "DaemonSettings"]
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535, description="port; 0 picks one")]
+
+
+class Address(msgspec.Struct, frozen=True):
+    """An address by IP number."""
+
+    host: str
+    port: Port
+
+
+class DaemonSettings(msgspec.Struct, frozen=True):
+    """Everything that a daemon is told by the instance it runs on."""
+
+    endpoint_id: Annotated[
+        str, msgspec.Meta(min_length=1, description="names the endpoint in the list")
+    ]
+    service: Annotated[
+        str, msgspec.Meta(min_length=1, description="the service it belongs to")
+    ]
+    region: Annotated[str, msgspec.Meta(description="the region of the instance")]
+    zone: Annotated[str, msgspec.Meta(description="its availability zone")]
+    front: Annotated[
+        Address, msgspec.Meta(description="where callers are accepted over HTTP")
+    ]
+    inner: Annotated[
+        Address, msgspec.Meta(description="where other daemons are accepted")
+    ]
+    operator: Annotated[
+        Address, msgspec.Meta(description="where metrics and dumps are served")
+    ]
+    backend: Annotated[
+        Address, msgspec.Meta(description="the backend server of this instance")
+    ]
+    store: Annotated[
+        Address, msgspec.Meta(description="the platform's configuration service")
+    ]
+    slots: Annotated[
+        int,
+        msgspec.Meta(ge=1, le=4096, description="requests the backend server runs"),
+    ] = 9
+    front_threads: Annotated[
+        int, msgspec.Meta(ge=2, le=1024, description="calls served at one time")
+    ] = 96
+    max_body_bytes: Annotated[
+        int, msgspec.Meta(ge=0, le=16 << 20, description="limit of a body, in bytes")
+    ] = 1 << 20
+    drain_limit_ms: Annotated[
+        int, msgspec.Meta(ge=0, le=600_000, description="limit of a shutdown, in ms")
+    ] = 30_000
+    placement: Annotated[
+        str,
+        msgspec.Meta(
+            pattern="^(evidence|random|round-robin|least-in-flight|two-choices)$",
+            description="how an endpoint is chosen",
+        ),
+    ] = "evidence"
--- /dev/null
+++ b/src/savoryhollow/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's configuration service, which can only be read."""
--- /dev/null
+++ b/src/savoryhollow/store/client.py
@@ -0,0 +1,75 @@
+"""Read the platform's configuration service over HTTP."""
+
+import msgspec
+import urllib3
+
+from savoryhollow import errors
+from savoryhollow.membership import table
+
+__all__ = ["Publication", "StoreClient"]
+
+# Limit of one ordinary read, in s.
+READ_LIMIT_S = 2.0
+# How long a watch is left open, in s.
+WATCH_S = 20.0
+
+
+class Publication(msgspec.Struct, frozen=True):
+    """The published files with their revision.
+
+    :param revision: rises with each publication.
+    :param files: the texts by file name.
+    """
+
+    revision: int
+    files: dict[str, str]
+
+
+class StoreClient:
+    """Reads publications and the list of instances.
+
+    :param host: the IP number of the service.
+    :param port: its port.
+    :param region: the region whose addresses are wanted in the list.
+    """
+
+    def __init__(self, host: str, port: int, region: str):
+        self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=2, retries=False)
+        self._region = region
+        self.reads = 0
+
+    def publication(self) -> Publication:
+        """Return the files as the service has them now.
+
+        :raises errors.StoreError: where no valid answer came.
+        """
+        return self._read("/configuration", Publication, READ_LIMIT_S)
+
+    def watch(self, revision: int) -> Publication:
+        """Wait until the files or the list differ from a revision, or a while.
+
+        :param revision: the revision known here.
+        :raises errors.StoreError: where no valid answer came.
+        """
+        path = f"/configuration?after={revision}&wait_ms={int(WATCH_S * 1000)}"
+        return self._read(path, Publication, WATCH_S + READ_LIMIT_S)
+
+    def instances(self) -> table.InstanceList:
+        """Return the list of live and leaving instances.
+
+        :raises errors.StoreError: where no valid answer came.
+        """
+        path = f"/instances?region={self._region}"
+        return self._read(path, table.InstanceList, READ_LIMIT_S)
+
+    def _read(self, path, model, limit_s):
+        self.reads += 1
+        try:
+            response = self._pool.request("GET", path, timeout=limit_s)
+            if response.status != 200:
+                text = f"{path} answered {response.status}; wait for the platform"
+                raise errors.StoreError(text)
+            return msgspec.json.decode(response.data, type=model)
+        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+            text = f"{path} gave no valid answer: {error}; wait for the platform"
+            raise errors.StoreError(text) from error
--- /dev/null
+++ b/src/savoryhollow/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between daemons: websockets carrying CBOR."""
--- /dev/null
+++ b/src/savoryhollow/wire/codec.py
@@ -0,0 +1,131 @@
+"""Encode and decode messages as CBOR.
+
+A message travels as an array: its kind, then its fields in their order. Arrays
+without names keep a message small on a link that is paid by volume.
+"""
+
+import dataclasses
+import typing
+
+import cbor2
+import msgspec
+
+from savoryhollow import errors
+from savoryhollow.wire import messages
+
+__all__ = ["decode", "encode"]
+
+# The number of each kind of message on the wire. Numbers are never used again.
+KINDS_BY_CLASS: dict[type, int] = {
+    messages.HelloMessage: 1,
+    messages.CallMessage: 2,
+    messages.ServedMessage: 3,
+    messages.NotRunMessage: 4,
+    messages.UnknownMessage: 5,
+    messages.CancelMessage: 6,
+    messages.ResolveMessage: 7,
+    messages.ResolutionMessage: 8,
+}
+CLASSES_BY_KIND = {kind: cls for cls, kind in KINDS_BY_CLASS.items()}
+
+
+def encode(message: messages.Message) -> bytes:
+    """Encode a message.
+
+    :param message: any message of :mod:`savoryhollow.wire.messages`.
+    :returns: its CBOR encoding.
+    """
+    return cbor2.dumps([KINDS_BY_CLASS[type(message)], *_values(message)])
+
+
+def decode(data: bytes) -> messages.Message:
+    """Decode and validate a message.
+
+    :param data: one CBOR item.
+    :returns: the message.
+    :raises errors.MalformedMessageError: on anything that is no valid message.
+    """
+    try:
+        kind, *values = cbor2.loads(data)
+        cls = CLASSES_BY_KIND[kind]
+        return msgspec.convert(_named(cls, values), cls)
+    except (
+        ValueError,
+        TypeError,
+        KeyError,
+        EOFError,
+        OverflowError,
+        RecursionError,
+        msgspec.ValidationError,
+        cbor2.CBORDecodeError,
+    ) as error:
+        text = f"{len(data)} bytes are no message: {error}; run matching versions"
+        raise errors.MalformedMessageError(text) from error
+
+
+# ---------------------------------------------------------------------------
+#   Arrays and names
+# ---------------------------------------------------------------------------
+
+
+def _values(item: typing.Any) -> list[typing.Any]:
+    return [_plain(getattr(item, name)) for name in item.__dataclass_fields__]
+
+
+def _plain(value: typing.Any) -> typing.Any:
+    if dataclasses.is_dataclass(value):
+        return _values(value)
+    if isinstance(value, tuple):
+        return [_plain(entry) for entry in value]
+    if isinstance(value, str):
+        return str(value)
+    return value
+
+
+def _nested(cls: type) -> dict[str, type]:
+    found = {}
+    for name, hint in typing.get_type_hints(cls).items():
+        for part in (hint, *typing.get_args(hint)):
+            if isinstance(part, type) and dataclasses.is_dataclass(part):
+                found[name] = part
+    return found
+
+
+def _names(cls: type) -> tuple[str, ...]:
+    return tuple(field.name for field in dataclasses.fields(cls))
+
+
+def _reach(classes: typing.Iterable[type]) -> set[type]:
+    found: set[type] = set()
+    pending = list(classes)
+    while pending:
+        cls = pending.pop()
+        if cls not in found:
+            found.add(cls)
+            pending.extend(_nested(cls).values())
+    return found
+
+
+_NAMES_BY_CLASS = {cls: _names(cls) for cls in _reach(KINDS_BY_CLASS)}
+_NESTED_BY_CLASS = {cls: _nested(cls) for cls in _NAMES_BY_CLASS}
+_TUPLES = {
+    cls: {
+        name
+        for name, hint in typing.get_type_hints(cls).items()
+        if typing.get_origin(hint) is tuple
+    }
+    for cls in _NAMES_BY_CLASS
+}
+
+
+def _named(cls: type, values: typing.Any) -> dict[str, typing.Any]:
+    names = _NAMES_BY_CLASS[cls]
+    if not isinstance(values, list) or len(values) != len(names):
+        raise TypeError(f"{cls.__name__} has {len(names)} fields")
+    named = dict(zip(names, values, strict=True))
+    for name, inner in _NESTED_BY_CLASS[cls].items():
+        if name in _TUPLES[cls]:
+            named[name] = [_named(inner, entry) for entry in named[name]]
+        elif named[name] is not None:
+            named[name] = _named(inner, named[name])
+    return named
--- /dev/null
+++ b/src/savoryhollow/wire/exchange.py
@@ -0,0 +1,165 @@
+"""Many requests in flight on one connection, answered in any order.
+
+The threads that wait share the reading: one of them reads the connection and
+hands each answer to its owner; once its own answer is there, another waiting
+thread takes over. A request that is alone is read by its own thread.
+"""
+
+import threading
+import time
+import typing
+
+from savoryhollow import errors
+from savoryhollow.wire import channel as channel_module
+from savoryhollow.wire import messages
+
+__all__ = ["Answer", "Exchange"]
+
+Answer: typing.TypeAlias = (
+    messages.ServedMessage
+    | messages.NotRunMessage
+    | messages.UnknownMessage
+    | messages.ResolutionMessage
+)
+
+
+class _Waiter:
+    """One thread that waits for one answer."""
+
+    __slots__ = ("answer", "event")
+
+    def __init__(self) -> None:
+        self.answer: Answer | None = None
+        self.event = threading.Event()
+
+
+class Exchange:
+    """The requests that this process has open on one connection.
+
+    :param channel: an open channel that nothing else reads.
+    :param peer: the greeting of the peer.
+    """
+
+    def __init__(self, channel: channel_module.Channel, peer: messages.HelloMessage):
+        self._channel = channel
+        self._lock = threading.Lock()
+        self._waiters_by_id: dict[str, _Waiter] = {}
+        self._reading = False
+        self._failure: errors.WireError | None = None
+        self.peer = peer
+
+    @property
+    def closed(self) -> bool:
+        """Whether no further request can be made."""
+        return self._channel.closed or self._failure is not None
+
+    @property
+    def bytes_total(self) -> int:
+        """Bytes sent and received on the connection."""
+        return self._channel.bytes_sent + self._channel.bytes_received
+
+    def request(
+        self,
+        message: messages.CallMessage | messages.ResolveMessage,
+        deadline: float,
+    ) -> Answer | None:
+        """Send a request and wait for its answer.
+
+        :param message: the request; its id must not be open here already.
+        :param deadline: the monotonic instant to stop waiting at.
+        :returns: the answer, or None once the deadline has passed.
+        :raises errors.ChannelClosedError: where the connection ended first.
+        """
+        waiter = self._enter(message.request_id)
+        try:
+            self._channel.send(message)
+            return self._wait(waiter, deadline)
+        finally:
+            self._leave(message.request_id)
+
+    def post(self, message: messages.CancelMessage) -> None:
+        """Send a message that has no answer; a lost connection is ignored."""
+        try:
+            self._channel.send(message)
+        except errors.WireError:
+            pass
+
+    def close(self) -> None:
+        """Close the connection; every waiting thread is woken."""
+        self._fail(errors.ChannelClosedError("closed here; open a new connection"))
+
+    # -----------------------------------------------------------------------
+    #   Waiting and reading
+    # -----------------------------------------------------------------------
+
+    def _enter(self, request_id: str) -> _Waiter:
+        waiter = _Waiter()
+        with self._lock:
+            if self._failure is not None:
+                raise self._failure
+            if request_id in self._waiters_by_id:
+                text = f"request {request_id} is open already; use a new id"
+                raise errors.WireError(text)
+            self._waiters_by_id[request_id] = waiter
+        return waiter
+
+    def _leave(self, request_id: str) -> None:
+        with self._lock:
+            self._waiters_by_id.pop(request_id, None)
+            self._wake_next_reader()
+
+    def _wait(self, waiter: _Waiter, deadline: float) -> Answer | None:
+        while True:
+            with self._lock:
+                if waiter.answer is not None:
+                    return waiter.answer
+                if self._failure is not None:
+                    raise self._failure
+                leads = not self._reading
+                self._reading = self._reading or leads
+                waiter.event.clear()
+            if time.monotonic() >= deadline:
+                if leads:
+                    self._stop_reading()
+                return None
+            if leads:
+                self._read_one(deadline)
+            else:
+                waiter.event.wait(deadline - time.monotonic())
+
+    def _read_one(self, deadline: float) -> None:
+        try:
+            answer = self._channel.receive(deadline)
+            if answer is not None and not isinstance(answer, Answer):
+                text = f"{type(answer).__name__} is no answer; run matching versions"
+                raise errors.MalformedMessageError(text)
+        except errors.WireError as error:
+            self._fail(error)
+            return
+        with self._lock:
+            self._reading = False
+            waiter = self._waiters_by_id.get(getattr(answer, "request_id", ""))
+            if waiter is not None:
+                waiter.answer = answer
+                waiter.event.set()
+
+    def _stop_reading(self) -> None:
+        with self._lock:
+            self._reading = False
+
+    def _wake_next_reader(self) -> None:
+        if self._reading:
+            return
+        for waiter in self._waiters_by_id.values():
+            if waiter.answer is None:
+                waiter.event.set()
+                return
+
+    def _fail(self, error: errors.WireError) -> None:
+        self._channel.close()
+        with self._lock:
+            if self._failure is None:
+                self._failure = error
+            self._reading = False
+            for waiter in self._waiters_by_id.values():
+                waiter.event.set()
--- /dev/null
+++ b/src/savoryhollow/wire/messages.py
@@ -0,0 +1,147 @@
+"""The messages of the inner protocol.
+
+A message is a plain data class. Durations are carried in whole microseconds,
+as no two processes share a clock.
+"""
+
+import dataclasses
+import enum
+import typing
+
+from savoryhollow import calls
+
+__all__ = [
+    "CallMessage",
+    "CancelMessage",
+    "HelloMessage",
+    "LoadReport",
+    "Message",
+    "NotRunMessage",
+    "PROTOCOL_VERSION",
+    "ResolutionMessage",
+    "ResolutionState",
+    "ResolveMessage",
+    "ServedMessage",
+    "UnknownMessage",
+]
+
+# Raised whenever a message changes in a way that an older peer can't read.
+PROTOCOL_VERSION = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The load of one backend server as its gate knows it.
+
+    :param service_us: smoothed time that a request holds a slot.
+    """
+
+    busy: int
+    queued: int
+    slots: int
+    service_us: int
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HelloMessage:
+    """The first message on a connection, sent by both ends."""
+
+    version: int
+    endpoint_id: str
+    incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallMessage:
+    """Asks the gate to run a request."""
+
+    request_id: str
+    service: str
+    rank: str
+    caller: str
+    remaining_us: int
+    idempotent: bool
+    depth: int
+    attempts_left: int
+    method: str
+    path: str
+    headers: tuple[calls.Header, ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServedMessage:
+    """The whole answer of the backend server."""
+
+    request_id: str
+    status: int
+    headers: tuple[calls.Header, ...]
+    body: bytes
+    load: LoadReport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRunMessage:
+    """The request was not run, and this incarnation never will run it."""
+
+    request_id: str
+    reason: calls.NotRunReason
+    retry_after_ms: int
+    load: LoadReport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnknownMessage:
+    """The backend server may have run the request but gave no whole answer."""
+
+    request_id: str
+    detail: str
+    load: LoadReport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelMessage:
+    """The caller no longer waits for the request."""
+
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResolveMessage:
+    """Asks what became of a request, and bars it if it never started."""
+
+    request_id: str
+
+
+class ResolutionState(enum.StrEnum):
+    """What a gate knows of a request id."""
+
+    BARRED = "barred"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FORGOTTEN = "forgotten"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResolutionMessage:
+    """Answers a :class:`ResolveMessage`.
+
+    :param answer: the whole answer, for a finished request.
+    """
+
+    request_id: str
+    state: ResolutionState
+    answer: ServedMessage | None = None
+
+
+Message: typing.TypeAlias = (
+    HelloMessage
+    | CallMessage
+    | ServedMessage
+    | NotRunMessage
+    | UnknownMessage
+    | CancelMessage
+    | ResolveMessage
+    | ResolutionMessage
+)
