Spread the load generator over processes

Cause: one process fell behind in the flood (its lock, at about 1,700 requests a second), so every rank seemed to wait for seconds. Change: arrivals are shared by four processes that start at one instant, and their histograms are added up.

--- a/emulator/demo.py
+++ b/emulator/demo.py
@@ -7,7 +7,7 @@
 # How long each phase lasts, in s.
 PHASE_S = 4.0
 # Requests open at one time.
-WORKERS = 160
+WORKERS = 1200
 SEED = 20
 
 
@@ -51,7 +51,7 @@
         for rank, share, idempotent in ranks:
             rate = share * capacity
             if flooded and rank == ranks[-1][0]:
-                rate = capacity
+                rate = 2 * capacity
             name = f"{service}/{rank}"
             streams.append(
                 load.Stream(name, urls, service, rank, rate, 1000, idempotent)
--- a/emulator/load.py
+++ b/emulator/load.py
@@ -5,8 +5,10 @@
 """
 
 import collections
+import concurrent.futures
 import dataclasses
 import http.client
+import multiprocessing
 import random
 import threading
 import time
@@ -21,8 +23,10 @@
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 DIGITS = 3
-# Pause before the first arrival, in s.
-LEAD_S = 0.2
+# Time for the processes of a generator to start, in s.
+LEAD_S = 2.0
+# Processes that a generator is spread over.
+PROCESSES = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +66,24 @@
     not_run_ids: list[str] = dataclasses.field(default_factory=list)
     served_ids: list[str] = dataclasses.field(default_factory=list)
 
+    def add(self, other: "LoadResult") -> None:
+        """Take in the results of another process."""
+        self.histogram.add(other.histogram)
+        self.outcomes += other.outcomes
+        self.reasons += other.reasons
+        self.endpoints += other.endpoints
+        self.not_run_ids += other.not_run_ids
+        self.served_ids += other.served_ids
+
+    def __getstate__(self) -> list:
+        rest = [getattr(self, name) for name in self.__slots__[1:]]
+        return [self.histogram.encode(), *rest]
+
+    def __setstate__(self, state: list) -> None:
+        self.histogram = hdrh.histogram.HdrHistogram.decode(state[0])
+        for name, value in zip(self.__slots__[1:], state[1:], strict=True):
+            setattr(self, name, value)
+
     def percentile_ms(self, percentile: float) -> float:
         """Return a percentile of the served requests' response times, in ms."""
         return self.histogram.get_value_at_percentile(percentile) / 1000
@@ -75,7 +97,11 @@
 
 
 def run(
-    streams: list[Stream], duration_s: float, workers: int, seed: int
+    streams: list[Stream],
+    duration_s: float,
+    workers: int,
+    seed: int,
+    processes: int = PROCESSES,
 ) -> dict[str, LoadResult]:
     """Send every stream for a while and return what became of it.
 
@@ -83,9 +109,31 @@
     :param duration_s: how long requests arrive, in s.
     :param workers: requests that can be open at one time.
     :param seed: the seed of the arrival instants.
+    :param processes: processes that share the streams, as one can't keep up.
     :returns: the results by stream name.
     """
-    generator = _Generator(streams, _lay_down(streams, duration_s, seed))
+    shared = [
+        dataclasses.replace(stream, rate=stream.rate / processes) for stream in streams
+    ]
+    started = time.monotonic() + LEAD_S
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(processes, context) as pool:
+        parts = [
+            pool.submit(
+                _run_part, shared, duration_s, workers // processes, seed + n, started
+            )
+            for n in range(processes)
+        ]
+        results_by_name = parts[0].result()
+        for part in parts[1:]:
+            for name, result in part.result().items():
+                results_by_name[name].add(result)
+    return results_by_name
+
+
+def _run_part(streams, duration_s, workers, seed, started) -> dict[str, LoadResult]:
+    arrivals = _lay_down(streams, duration_s, seed)
+    generator = _Generator(streams, arrivals, started)
     threads = [threading.Thread(target=generator.work) for _ in range(workers)]
     for thread in threads:
         thread.start()
@@ -109,10 +157,10 @@
 
 
 class _Generator:
-    def __init__(self, streams: list[Stream], arrivals: list[_Arrival]):
+    def __init__(self, streams: list[Stream], arrivals: list[_Arrival], started: float):
         self._arrivals = iter(arrivals)
         self._lock = threading.Lock()
-        self._started = time.monotonic() + LEAD_S
+        self._started = started
         self.results_by_name = {
             stream.name: LoadResult(
                 hdrh.histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
