Send no ping with each call on a quiet connection

Cause: waiting for an answer counted the silence from the last byte heard, so a connection that had rested for 0.1 s was pinged as soon as a call was sent on it. At 59 calls/s over some 25 peers that is nearly every call. Setting the socket's time limit before every read also gave up the interpreter's lock.

Ruled out: counting from the start of each wait, as threads that take turns in reading would put the ping off for ever; the test that sends several messages to a deaf peer holds that.

Change: silence counts from the first message sent since the peer was last heard; the socket's limit is set anew only where it changes much.

Seen: the new test fails before (more was sent than the message) and passes after.

--- a/src/savoryhollow/wire/channel.py
+++ b/src/savoryhollow/wire/channel.py
@@ -34,6 +34,10 @@
 SEND_LIMIT_S = 2.0
 # Longest single wait for bytes on an idle connection, in s.
 IDLE_WAIT_S = 3600.0
+# Shortest single wait for bytes, in s.
+SHORTEST_WAIT_S = 1e-4
+# How far a wait may overrun before its limit is set anew, as a factor.
+WAIT_SLACK = 1.2
 # Limit of the opening handshake, in s.
 HANDSHAKE_LIMIT_S = 1.0
 
@@ -53,6 +57,9 @@
         self._send_lock = threading.Lock()
         self._inbox: collections.deque[messages.Message] = collections.deque()
         self._heard_at = time.monotonic()
+        # When the first message since the peer was last heard was sent.
+        self._sent_at = self._heard_at
+        self._wait_limit_s = 0.0
         self._pinged_at: float | None = None
         self._closed = False
         self.bytes_sent = 0
@@ -75,6 +82,8 @@
         """
         data = codec.encode(message)
         with self._send_lock:
+            if self._sent_at <= self._heard_at:
+                self._sent_at = time.monotonic()
             self._protocol_step(lambda: self._protocol.send_binary(data))
 
     def receive(self, deadline: float | None) -> messages.Message | None:
@@ -88,7 +97,6 @@
         :raises errors.ChannelClosedError: where the connection has ended.
         :raises errors.MalformedMessageError: on an invalid message.
         """
-        self._heard_at = max(self._heard_at, time.monotonic() - PING_AFTER_S)
         while not self._inbox:
             wake_at = self._next_wake()
             if deadline is not None:
@@ -129,7 +137,7 @@
     def _next_wake(self) -> float:
         if self._pinged_at is not None:
             return self._pinged_at + PONG_LIMIT_S
-        return self._heard_at + PING_AFTER_S
+        return max(self._heard_at, self._sent_at) + PING_AFTER_S
 
     def _check_silence(self, now: float) -> None:
         if self._pinged_at is None:
@@ -147,7 +155,7 @@
 
     def _read_until(self, wake_at: float) -> bool:
         try:
-            self._sock.settimeout(max(1e-4, wake_at - time.monotonic()))
+            self._limit_wait(wake_at - time.monotonic())
             data = self._sock.recv(READ_BYTES)
         except TimeoutError:
             return False
@@ -161,6 +169,14 @@
         self._take(data)
         return True
 
+    def _limit_wait(self, wait_s: float) -> None:
+        # A socket's limit is left as it is where it would change little: setting
+        # it gives up the interpreter's lock for nothing.
+        known_s = self._wait_limit_s
+        if not wait_s <= known_s <= wait_s * WAIT_SLACK:
+            self._wait_limit_s = max(SHORTEST_WAIT_S, wait_s)
+            self._sock.settimeout(self._wait_limit_s)
+
     def _take(self, data: bytes) -> None:
         with self._send_lock:
             self._protocol_step(lambda: self._protocol.receive_data(data))
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,58 @@
+import socket
+import threading
+import time
+
+import pytest
+
+from savoryhollow import errors
+from savoryhollow.wire import channel, messages
+
+HELLO = messages.HelloMessage(messages.PROTOCOL_VERSION, "here", "0")
+
+
+@pytest.fixture
+def pair():
+    """Return two channels that are connected to each other."""
+    accepted = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        thread = threading.Thread(
+            target=lambda: accepted.append(
+                channel.accept(listener.accept()[0], HELLO)[0]
+            )
+        )
+        thread.start()
+        opened, _ = channel.connect(*listener.getsockname(), HELLO)
+        thread.join()
+    yield opened, accepted[0]
+    opened.close()
+    accepted[0].close()
+
+
+def test_a_request_on_a_quiet_connection_costs_no_ping(pair, monkeypatch):
+    monkeypatch.setattr(channel, "PING_AFTER_S", 1.0)
+    opened, accepted = pair
+    time.sleep(1.1)
+    before = opened.bytes_sent
+    opened.send(messages.CancelMessage("id"))
+    message_bytes = opened.bytes_sent - before
+
+    def answer_late():
+        time.sleep(0.02)
+        accepted.send(accepted.receive_idle())
+
+    threading.Thread(target=answer_late).start()
+    assert opened.receive(time.monotonic() + 5) == messages.CancelMessage("id")
+    assert opened.bytes_sent == before + message_bytes
+
+
+def test_a_peer_that_answers_no_ping_is_found_out_though_more_is_sent(pair):
+    opened, _ = pair
+    for _ in range(3):
+        opened.send(messages.CancelMessage("id"))
+    with pytest.raises(errors.ChannelSilentError, match="resolve"):
+        opened.receive(time.monotonic() + 30)
+
+
+def test_waiting_ends_at_the_deadline(pair):
+    opened, _ = pair
+    assert opened.receive(time.monotonic() + 0.01) is None
