Give one verdict on a folder, whatever its text, and tell every fault

Cause: the verdict on hostile text could end in something other than a verdict (a lone surrogate broke the size check, a number of 400 digits overflowed, NaN passed as a floor), the order of unknown keys followed the hash seed, a fault of a value hid the sums of shares and floors, and names were accepted which no header of a caller can carry. Ruled out: merging what can be read beside a file that can't, as its faults would then depend on what the unread file refines. The merge of any first files, written out as one, stands in for them (property test; plain association of patches does not hold, since null removes).

--- a/src/savoryhollow/configuration/merging.py
+++ b/src/savoryhollow/configuration/merging.py
@@ -1,7 +1,8 @@
 """Merge a folder of small JSON files in the order of their names.
 
 Objects merge key by key; any other value of a later file replaces the earlier
-one, a list as a whole; ``null`` takes the key out.
+one, a list as a whole; ``null`` takes the key out. So the merge of the first
+files, written out as one file, can stand in their place.
 """
 
 import dataclasses
@@ -71,7 +72,7 @@
 
 def _merge_object(target, source, name, path, origins_by_path) -> None:
     for key, value in source.items():
-        at = f"{path}.{key}" if path else key
+        at = validation.join_path(path, key)
         if value is None:
             target.pop(key, None)
             _drop_origins(origins_by_path, at)
--- a/src/savoryhollow/configuration/models.py
+++ b/src/savoryhollow/configuration/models.py
@@ -6,7 +6,13 @@
 
 __all__ = ["BudgetsModel", "Configuration", "RankModel", "ServiceModel"]
 
-Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Name = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^[A-Za-z0-9][A-Za-z0-9-]{0,63}\Z",
+        description="letters, digits and -, as the headers of callers carry them",
+    ),
+]
 
 
 class RankModel(msgspec.Struct, frozen=True):
@@ -48,7 +54,7 @@
     share: Annotated[
         float, msgspec.Meta(ge=0.0, le=1.0, description="its share of the fleet")
     ]
-    ranks: dict[str, RankModel]
+    ranks: dict[Name, RankModel]
     queue_limit: Annotated[
         int, msgspec.Meta(ge=0, le=10_000, description="requests waiting at a gate")
     ] = 64
@@ -61,4 +67,4 @@
 class Configuration(msgspec.Struct, frozen=True):
     """Everything that a revision puts in force."""
 
-    services: dict[str, ServiceModel]
+    services: dict[Name, ServiceModel]
--- /dev/null
+++ b/src/savoryhollow/settings/remedies.py
@@ -0,0 +1,106 @@
+"""Say what to write in place of a faulty key or value."""
+
+import difflib
+import typing
+
+import msgspec
+
+__all__ = ["for_unknown_key", "for_value"]
+
+# Bytes per second in one of each unit.
+RATES_BY_SUFFIX = {
+    "bit_per_s": 0.125,
+    "bits_per_s": 0.125,
+    "kbit_per_s": 125.0,
+    "mbit_per_s": 125_000.0,
+    "gbit_per_s": 125_000_000.0,
+    "byte_per_s": 1.0,
+    "bytes_per_s": 1.0,
+    "kb_per_s": 1_000.0,
+    "kbytes_per_s": 1_000.0,
+    "mb_per_s": 1_000_000.0,
+    "mbytes_per_s": 1_000_000.0,
+    "kib_per_s": 1_024.0,
+    "mib_per_s": 1_048_576.0,
+}
+# Milliseconds in one of each unit.
+TIMES_BY_SUFFIX = {
+    "us": 0.001,
+    "ms": 1.0,
+    "s": 1_000.0,
+    "seconds": 1_000.0,
+    "minutes": 60_000.0,
+}
+# Units of a ratio in one of each unit.
+RATIOS_BY_SUFFIX = {"ratio": 1.0, "percent": 0.01, "pct": 0.01, "permille": 0.001}
+_SCALES = (RATES_BY_SUFFIX, TIMES_BY_SUFFIX, RATIOS_BY_SUFFIX)
+# Greatest value that is taken for a percentage.
+MAX_PERCENT = 100
+
+
+def for_unknown_key(key: str, known: tuple[str, ...]) -> str:
+    """Return the remedy for a key that no model has.
+
+    :param key: the key as it was written.
+    :param known: the keys of the model.
+    :returns: the key to write instead, with the unit's factor where it differs.
+    """
+    for right in known:
+        factor = _factor(key, right)
+        if factor is not None:
+            return f"wrong unit; write {right} with the number times {factor:g}"
+    close = difflib.get_close_matches(key, known, 1)
+    if close:
+        return f"unknown key; write {close[0]} or remove it"
+    return f"unknown key; remove it or write one of {', '.join(known)}"
+
+
+def for_value(value: typing.Any, model: typing.Any, detail: str) -> str:
+    """Return the remedy for a value that its model refuses.
+
+    :param value: the value.
+    :param model: the annotated type of the value.
+    :param detail: what the validator said.
+    :returns: what to write instead.
+    """
+    if isinstance(value, str) and _is_number(value) and not _takes_text(model):
+        return f"write the number without quotes: {value.strip()}"
+    if _is_share(model) and _is_percentage(value):
+        return f"write a share of the whole, from 0 to 1: {value / 100:g}"
+    return detail.replace("`", "").lower()
+
+
+def _factor(key: str, right: str) -> float | None:
+    for scale in _SCALES:
+        for suffix, unit in scale.items():
+            for right_suffix, right_unit in scale.items():
+                stem = key.removesuffix("_" + suffix)
+                same = stem == right.removesuffix("_" + right_suffix)
+                if same and stem not in (key, right):
+                    return unit / right_unit
+    return None
+
+
+def _is_number(text: str) -> bool:
+    try:
+        float(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _takes_text(model: typing.Any) -> bool:
+    return str in (model, *typing.get_args(model))
+
+
+def _is_share(model: typing.Any) -> bool:
+    return any(
+        isinstance(part, msgspec.Meta) and part.le == 1.0
+        for part in typing.get_args(model)
+    )
+
+
+def _is_percentage(value: typing.Any) -> bool:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return 1 < value <= MAX_PERCENT
--- a/src/savoryhollow/settings/validation.py
+++ b/src/savoryhollow/settings/validation.py
@@ -2,16 +2,39 @@
 
 import collections.abc
 import json
+import math
+import re
 import typing
 
 import msgspec
 
 from savoryhollow import errors
+from savoryhollow.settings import remedies
 
-__all__ = ["convert", "parse_object"]
+__all__ = ["convert", "join_path", "parse_object"]
 
 Origin: typing.TypeAlias = collections.abc.Callable[[str], str]
 
+# Objects and lists that may stand inside one another.
+MAX_DEPTH = 32
+# Longest part of a faulty value that a message repeats, in characters.
+MAX_VALUE_CHARACTERS = 80
+# Greatest whole number that a file may hold.
+MAX_INTEGER = 2**53
+# A key that is written in a path as it stands; any other is quoted.
+PLAIN_KEY = re.compile(r"[A-Za-z0-9_-]+", re.ASCII)
+
+
+class _Object(dict):
+    """A parsed object that remembers the keys that stood twice."""
+
+    repeated: tuple[str, ...] = ()
+
+
+# ---------------------------------------------------------------------------
+#   Text
+# ---------------------------------------------------------------------------
+
 
 def parse_object(text: str, source: str) -> dict[str, typing.Any]:
     """Parse a JSON object and refuse a key that stands twice.
@@ -21,30 +44,72 @@
     :returns: the parsed object.
     :raises errors.ConfigurationError: on text that is not one JSON object.
     """
-    problems: list[errors.Problem] = []
-
-    def build(pairs: list[tuple[str, typing.Any]]) -> dict[str, typing.Any]:
-        built: dict[str, typing.Any] = {}
-        for key, value in pairs:
-            if key in built:
-                remedy = "the key stands twice; keep one of them"
-                problems.append(errors.Problem(source, key, json.dumps(value), remedy))
-            built[key] = value
-        return built
-
     try:
-        parsed = json.loads(text, object_pairs_hook=build)
+        parsed = json.loads(
+            text, object_pairs_hook=_build, parse_constant=_refuse_constant
+        )
     except (ValueError, RecursionError) as error:
-        problem = errors.Problem(source, "$", "...", f"write valid JSON: {error}")
+        remedy = f"write valid JSON: {error}"
+        problem = errors.Problem(source, "$", "...", remedy)
         raise errors.ConfigurationError([problem]) from error
     if not isinstance(parsed, dict):
-        problem = errors.Problem(source, "$", text[:40], "write a JSON object")
+        problem = errors.Problem(source, "$", _shorten(parsed), "write a JSON object")
         raise errors.ConfigurationError([problem])
+    problems: list[errors.Problem] = []
+    _check_parsed(parsed, "", 0, source, problems)
     if problems:
         raise errors.ConfigurationError(problems)
     return parsed
 
 
+def join_path(path: str, key: str) -> str:
+    """Return the dotted path of a key below a path; an unusual key is quoted."""
+    name = key if PLAIN_KEY.fullmatch(key) else json.dumps(key)
+    return f"{path}.{name}" if path else name
+
+
+def _build(pairs: list[tuple[str, typing.Any]]) -> _Object:
+    built = _Object(pairs)
+    if len(built) < len(pairs):
+        keys = [key for key, _ in pairs]
+        built.repeated = tuple(sorted(key for key in built if keys.count(key) > 1))
+    return built
+
+
+def _refuse_constant(name: str) -> typing.NoReturn:
+    raise ValueError(f"{name} is no JSON number")
+
+
+def _check_parsed(value, path, depth, source, problems) -> None:
+    if depth > MAX_DEPTH:
+        remedy = f"nest at most {MAX_DEPTH} objects and lists"
+        problems.append(errors.Problem(source, path, "...", remedy))
+    elif isinstance(value, _Object):
+        for key in value.repeated:
+            at = join_path(path, key)
+            remedy = "the key stands twice; keep one of them"
+            problems.append(errors.Problem(source, at, _shorten(value[key]), remedy))
+        for key, entry in value.items():
+            _check_parsed(entry, join_path(path, key), depth + 1, source, problems)
+    elif isinstance(value, list):
+        for number, entry in enumerate(value):
+            _check_parsed(entry, f"{path}[{number}]", depth + 1, source, problems)
+    elif _is_too_large(value):
+        remedy = "too large for a number; write a smaller one"
+        problems.append(errors.Problem(source, path, "...", remedy))
+
+
+def _is_too_large(value: typing.Any) -> bool:
+    if isinstance(value, float):
+        return not math.isfinite(value)
+    return isinstance(value, int) and abs(value) > MAX_INTEGER
+
+
+# ---------------------------------------------------------------------------
+#   Models
+# ---------------------------------------------------------------------------
+
+
 def convert(
     value: typing.Any,
     model: typing.Any,
@@ -65,10 +130,14 @@
         return _convert_struct(value, model, origin, problems, path)
     if typing.get_origin(model) is dict:
         return _convert_mapping(value, model, origin, problems, path)
+    return _convert_leaf(value, model, origin, problems, path)
+
+
+def _convert_leaf(value, model, origin, problems, path):
     try:
         return msgspec.convert(value, model)
-    except msgspec.ValidationError as error:
-        remedy = str(error).replace("`", "").lower()
+    except (msgspec.ValidationError, ValueError, OverflowError) as error:
+        remedy = remedies.for_value(value, model, str(error))
         problems.append(_problem(origin, path, value, remedy))
         return None
 
@@ -79,17 +148,16 @@
         return None
     hints = typing.get_type_hints(model, include_extras=True)
     fields = {field.name: field for field in msgspec.structs.fields(model)}
-    for name in value.keys() - fields.keys():
-        remedy = f"unknown key; known here: {', '.join(sorted(fields))}"
-        problems.append(_problem(origin, _join(path, name), value[name], remedy))
+    for name in sorted(value.keys() - fields.keys()):
+        remedy = remedies.for_unknown_key(name, tuple(sorted(fields)))
+        problems.append(_problem(origin, join_path(path, name), value[name], remedy))
     converted = {}
     for name, field in fields.items():
+        at = join_path(path, name)
         if name in value:
-            at = _join(path, name)
             converted[name] = convert(value[name], hints[name], origin, problems, at)
         elif field.required:
-            remedy = "required; add it"
-            problems.append(_problem(origin, _join(path, name), None, remedy))
+            problems.append(_problem(origin, at, None, "required; add it"))
     if problems:
         return None
     return model(**converted)
@@ -99,20 +167,22 @@
     if not isinstance(value, dict):
         problems.append(_problem(origin, path, value, "write an object"))
         return None
-    item = typing.get_args(model)[1]
-    return {
-        key: convert(entry, item, origin, problems, _join(path, key))
-        for key, entry in value.items()
-    }
+    key_model, item = typing.get_args(model)
+    converted = {}
+    for key, entry in value.items():
+        at = join_path(path, key)
+        _convert_leaf(key, key_model, origin, problems, at)
+        converted[key] = convert(entry, item, origin, problems, at)
+    return converted
 
 
 def _is_struct(model: typing.Any) -> bool:
     return isinstance(model, type) and issubclass(model, msgspec.Struct)
 
 
-def _join(path: str, name: str) -> str:
-    return f"{path}.{name}" if path else name
+def _problem(origin, path, value, remedy) -> errors.Problem:
+    return errors.Problem(origin(path), path or "$", _shorten(value), remedy)
 
 
-def _problem(origin, path, value, remedy) -> errors.Problem:
-    return errors.Problem(origin(path), path or "$", json.dumps(value)[:80], remedy)
+def _shorten(value: typing.Any) -> str:
+    return json.dumps(value, sort_keys=True)[:MAX_VALUE_CHARACTERS]
