Accept a folder in time that grows with its size

Cause: at 340 services a revision took 1,383 ms of processor time to accept (27 at 42, 96 at 85, 359 at 170): each value scanned every known origin, and the type hints of a model were resolved anew for each object. Change: origins below a value are dropped by walking the value that goes away; the fields of a model are worked out once. The new test counts function calls, not time, and fails on the code before. Ruled out for now: converting in one step and only explaining after a failure, as two verdicts could differ.

--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,334 @@
+"""Measure the slopes from which docs/CAPACITY.md is worked out.
+
+    python -m bench.slopes [SPREAD_OUTPUT]
+
+SPREAD_OUTPUT holds the lines that ``python -m bench.spread 10 30 60`` printed.
+The slopes are written to bench/results/slopes.json.
+"""
+
+import functools
+import gc
+import json
+import pathlib
+import subprocess
+import sys
+import time
+import tracemalloc
+import typing
+
+import msgspec
+
+from savoryhollow import errors
+from savoryhollow.configuration import acceptance
+from savoryhollow.membership import table
+from savoryhollow.store import documents, topology
+from savoryhollow.wire import codec, messages
+
+__all__ = ["RESULTS", "Slope", "fit"]
+
+RESULTS = pathlib.Path(__file__).parent / "results" / "slopes.json"
+COMMAND = "python -m bench.slopes"
+SPREAD_COMMAND = "python -m bench.spread 10 30 60"
+# Sizes measured.
+LIST_SIZES = (1_100, 2_200, 4_400, 8_800)
+SERVICE_SIZES = (42, 85, 170, 340)
+ZONE_SIZES = (60, 240, 733)
+REPEATS = 5
+# Steps of the imports of a daemon, with the part each belongs to.
+IMPORT_STEPS = (
+    ("interpreter", "json, re, logging, threading, socket, typing"),
+    ("control", "msgspec, cbor2, xxhash"),
+    ("control", "savoryhollow.wire.channel"),
+    ("control", "savoryhollow.store.following"),
+    ("data path", "savoryhollow.webserver, savoryhollow.backend.client"),
+    ("data path", "savoryhollow.routing.router, savoryhollow.front.service"),
+    ("data path", "savoryhollow.daemon.process"),
+)
+
+
+class Slope(msgspec.Struct):
+    """One quantity against a size.
+
+    :param points: pairs of size and quantity.
+    :param r2: the share of the variation that the line explains.
+    """
+
+    name: str
+    unit: str
+    per: str
+    command: str
+    points: list[tuple[float, float]]
+    intercept: float
+    slope: float
+    r2: float
+
+    def at(self, size: float) -> float:
+        """Return the quantity that the line gives at a size."""
+        return self.intercept + self.slope * size
+
+
+def fit(name: str, unit: str, per: str, command: str, points) -> Slope:
+    """Return the least-squares line through points."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = 0.0
+    if spread:
+        slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    intercept = mean_y - slope * mean_x
+    total = sum((y - mean_y) ** 2 for _, y in points)
+    rest = sum((y - intercept - slope * x) ** 2 for x, y in points)
+    r2 = 1 - rest / total if total else 1.0
+    pairs = [(float(x), float(y)) for x, y in points]
+    return Slope(name, unit, per, command, pairs, intercept, slope, r2)
+
+
+# ---------------------------------------------------------------------------
+#   Subjects
+# ---------------------------------------------------------------------------
+
+
+def make_listing(size: int, revision: int = 1) -> table.InstanceList:
+    """Return a list at the letter's proportions: 12 zones, 26 endpoints a service."""
+    return table.InstanceList(
+        revision,
+        [
+            table.InstanceModel(
+                endpoint_id=f"service-{n // 26}-{n % 26}",
+                service=f"service-{n // 26}",
+                region=f"region-{n % 4}",
+                zone=f"region-{n % 4}-{'abc'[n // 4 % 3]}",
+                host=f"10.{n % 12}.{n // 250 % 250}.{n % 250}",
+                port=7081,
+                state=table.EndpointState.LIVE,
+            )
+            for n in range(size)
+        ],
+    )
+
+
+def make_files(services: int, queue_limit: int = 64) -> dict[str, str]:
+    """Return a folder with one file for each service."""
+    ranks = {
+        "lookup": {"order": 0, "floor": 0.3, "worth": 20, "idempotent": True},
+        "booking": {"order": 1, "floor": 0.2, "worth": 10},
+        "search": {"order": 2, "floor": 0.1, "worth": 1, "idempotent": True},
+    }
+    budgets = {"link_bytes_per_s": 1_000_000, "retry_ratio": 0.1}
+    return {
+        f"10-service-{n}.json": json.dumps(
+            {
+                "services": {
+                    f"service-{n}": {
+                        "share": 1 / services,
+                        "queue_limit": queue_limit if n == 0 else 64,
+                        "ranks": ranks,
+                        "budgets": budgets,
+                    }
+                }
+            }
+        )
+        for n in range(services)
+    }
+
+
+def _best_ms(step: typing.Callable[[], typing.Any]) -> float:
+    times = []
+    for _ in range(REPEATS):
+        started = time.process_time()
+        step()
+        times.append(time.process_time() - started)
+    return min(times) * 1e3
+
+
+def _held_kb(build: typing.Callable[[], typing.Any]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    held = build()
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del held
+    return size / 1e3
+
+
+# ---------------------------------------------------------------------------
+#   Slopes
+# ---------------------------------------------------------------------------
+
+
+def _list_slopes() -> list[Slope]:
+    memory, detail, replace, places, whole = [], [], [], [], []
+    for size in LIST_SIZES:
+        data = msgspec.json.encode(make_listing(size))
+        memory.append((size, _held_kb(lambda data=data: _hold_list(data))))
+        texts = _texts(data)
+        members = table.MemberTable()
+        members.replace(1, texts)
+        detail.append((size, _held_kb(functools.partial(_detail, members))))
+        changed = texts | {next(iter(texts)): '["r","z","10.0.0.1",7081,"leaving"]'}
+        step = functools.partial(_change_entry, members, texts, changed)
+        replace.append((size, _best_ms(step)))
+        places.append((size, _best_ms(lambda m=members: _find_places(m))))
+        delta = _whole_delta(texts)
+        whole.append((size, len(codec.encode(messages.RelayMessage((), (delta,))))))
+    per = "endpoint"
+    return [
+        fit("list, held as texts", "kB", per, COMMAND, memory),
+        fit("list, held in detail", "kB", per, COMMAND, detail),
+        fit("list, one entry changed", "ms of processor", per, COMMAND, replace),
+        fit("list, places worked out", "ms of processor", per, COMMAND, places),
+        fit("list, sent whole", "bytes", per, COMMAND, whole),
+    ]
+
+
+def _texts(data: bytes) -> dict[str, str]:
+    return table.texts_by_name(msgspec.json.decode(data, type=table.InstanceList))
+
+
+def _detail(members: table.MemberTable) -> list[table.Endpoint]:
+    return list(members.all_endpoints())
+
+
+def _change_entry(members, texts, changed) -> None:
+    documents.make_document(2, changed)
+    members.replace(2, changed)
+    members.replace(1, texts)
+
+
+def _hold_list(data: bytes) -> documents.Document:
+    return documents.make_document(1, _texts(data))
+
+
+def _find_places(members: table.MemberTable) -> None:
+    place = topology.Place("service-1-1", "region-1", "region-1-a")
+    topology.neighbours(place, tuple(members.all_endpoints()))
+
+
+def _whole_delta(texts: dict[str, str]) -> messages.RevisionDelta:
+    replica = documents.Replica("instances/region-0", lambda document: None)
+    replica.offer(documents.make_document(1, texts))
+    told = messages.DocumentVersion("instances/region-0", -1, b"", b"")
+    delta = replica.delta_for(told)
+    if delta is None:
+        raise errors.WireError("the replica is empty; offer a document first")
+    return delta
+
+
+def _configuration_slopes() -> list[Slope]:
+    accept, memory, whole, change = [], [], [], []
+    for size in SERVICE_SIZES:
+        files = make_files(size)
+        accept.append((size, _best_ms(lambda f=files: acceptance.accept(f))))
+        memory.append((size, _held_kb(lambda n=size: _hold_configuration(n))))
+        whole.append((size, sum(len(text) for text in files.values())))
+        change.append((size, _change_bytes(size)))
+    per = "service"
+    return [
+        fit("configuration, accepted", "ms of processor", per, COMMAND, accept),
+        fit("configuration, held", "kB", per, COMMAND, memory),
+        fit("configuration, whole", "bytes", per, COMMAND, whole),
+        fit("configuration, one file changed", "bytes", per, COMMAND, change),
+    ]
+
+
+def _hold_configuration(size: int) -> tuple:
+    files = make_files(size)
+    return documents.make_document(1, files), acceptance.accept(files)
+
+
+def _change_bytes(size: int) -> int:
+    replica = documents.Replica("configuration", lambda document: None)
+    replica.offer(documents.make_document(1, make_files(size)))
+    told = replica.told_version
+    replica.offer(documents.make_document(2, make_files(size, queue_limit=65)))
+    delta = replica.delta_for(told)
+    versions = (told, replica.told_version)
+    return len(codec.encode(messages.RelayMessage(versions, (delta,))))
+
+
+def _depth_slope() -> Slope:
+    points = [(size, _depth(size)) for size in ZONE_SIZES]
+    return fit("relay, hops through a zone", "hops", "daemon", COMMAND, points)
+
+
+def _depth(size: int) -> int:
+    endpoints = [
+        table.Endpoint(f"e-{n}", "s", "r", "z", "h", 1, table.EndpointState.LIVE)
+        for n in range(size)
+    ]
+    places = {e.endpoint_id: topology.Place(e.endpoint_id, "r", "z") for e in endpoints}
+    reached = {i for i, place in places.items() if topology.is_reader(place, endpoints)}
+    edge, depth = set(reached), 0
+    while edge:
+        edge = {
+            near.endpoint_id
+            for endpoint_id in edge
+            for near in topology.neighbours(places[endpoint_id], endpoints)
+        } - reached
+        reached |= edge
+        depth += bool(edge)
+    return depth
+
+
+def _import_slopes() -> list[Slope]:
+    code = "import sys\n" + _RSS_CODE
+    for _, modules in IMPORT_STEPS:
+        code += f"import {modules}\nprint(rss())\n"
+    run = [sys.executable, "-c", code]
+    printed = subprocess.run(run, capture_output=True, text=True, check=True).stdout
+    sizes = [int(line) / 1024 for line in printed.split()]
+    return [
+        fit(f"imports, {part}: {modules}", "MB resident", "", COMMAND, [(0, size)])
+        for (part, modules), size in zip(IMPORT_STEPS, sizes, strict=True)
+    ]
+
+
+_RSS_CODE = """
+def rss():
+    with open('/proc/self/status') as status:
+        return next(l for l in status if l.startswith('VmRSS')).split()[1]
+"""
+
+_SPREAD_FIELDS = {
+    "all_p50_ms": "ms",
+    "all_max_ms": "ms",
+    "one_p99_ms": "ms",
+    "platform_calls_per_s": "calls/s",
+    "idle_cpu_share": "of a core",
+    "busy_cpu_share": "of a core",
+    "idle_bytes_per_s": "bytes/s",
+    "revision_bytes": "bytes",
+    "store_bytes_per_s": "bytes/s",
+    "rss_mb": "MB resident",
+}
+
+
+def _spread_slopes(path: pathlib.Path) -> list[Slope]:
+    runs = [json.loads(line) for line in path.read_text().splitlines()]
+    return [
+        fit(
+            f"spread, {field}",
+            unit,
+            "daemon",
+            SPREAD_COMMAND,
+            [(run["daemons"], run[field]) for run in runs],
+        )
+        for field, unit in _SPREAD_FIELDS.items()
+    ]
+
+
+def main() -> None:
+    """Measure and record every slope; keep those of spread where none is given."""
+    slopes = _list_slopes() + _configuration_slopes() + [_depth_slope()]
+    slopes += _import_slopes()
+    if len(sys.argv) > 1:
+        slopes += _spread_slopes(pathlib.Path(sys.argv[1]))
+    RESULTS.parent.mkdir(exist_ok=True)
+    text = msgspec.json.format(msgspec.json.encode(slopes), indent=1)
+    RESULTS.write_bytes(text + b"\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/savoryhollow/configuration/merging.py
+++ b/src/savoryhollow/configuration/merging.py
@@ -74,21 +74,21 @@
     for key, value in source.items():
         at = validation.join_path(path, key)
         if value is None:
-            target.pop(key, None)
-            _drop_origins(origins_by_path, at)
+            _drop_origins(origins_by_path, at, target.pop(key, None))
         elif isinstance(value, dict):
             if not isinstance(target.get(key), dict):
                 target[key] = {}
-                _drop_origins(origins_by_path, at)
+                origins_by_path.pop(at, None)
             origins_by_path.setdefault(at, name)
             _merge_object(target[key], value, name, at, origins_by_path)
         else:
+            _drop_origins(origins_by_path, at, target.get(key))
             target[key] = value
-            _drop_origins(origins_by_path, at)
             origins_by_path[at] = name
 
 
-def _drop_origins(origins_by_path: dict[str, str], path: str) -> None:
-    below = path + "."
-    for known in [p for p in origins_by_path if p == path or p.startswith(below)]:
-        del origins_by_path[known]
+def _drop_origins(origins_by_path: dict[str, str], path: str, old: typing.Any) -> None:
+    origins_by_path.pop(path, None)
+    if isinstance(old, dict):
+        for key, value in old.items():
+            _drop_origins(origins_by_path, validation.join_path(path, key), value)
--- a/src/savoryhollow/settings/validation.py
+++ b/src/savoryhollow/settings/validation.py
@@ -1,6 +1,7 @@
 """Validate a JSON document against a model and report every fault at once."""
 
 import collections.abc
+import functools
 import json
 import math
 import re
@@ -25,6 +26,13 @@
 PLAIN_KEY = re.compile(r"[A-Za-z0-9_-]+", re.ASCII)
 
 
+class _Field(typing.NamedTuple):
+    """One field of a model, with its annotated type."""
+
+    model: typing.Any
+    required: bool
+
+
 class _Object(dict):
     """A parsed object that remembers the keys that stood twice."""
 
@@ -146,8 +154,7 @@
     if not isinstance(value, dict):
         problems.append(_problem(origin, path, value, "write an object"))
         return None
-    hints = typing.get_type_hints(model, include_extras=True)
-    fields = {field.name: field for field in msgspec.structs.fields(model)}
+    fields = _fields_by_name(model)
     for name in sorted(value.keys() - fields.keys()):
         remedy = remedies.for_unknown_key(name, tuple(sorted(fields)))
         problems.append(_problem(origin, join_path(path, name), value[name], remedy))
@@ -155,7 +162,7 @@
     for name, field in fields.items():
         at = join_path(path, name)
         if name in value:
-            converted[name] = convert(value[name], hints[name], origin, problems, at)
+            converted[name] = convert(value[name], field.model, origin, problems, at)
         elif field.required:
             problems.append(_problem(origin, at, None, "required; add it"))
     if problems:
@@ -176,6 +183,15 @@
     return converted
 
 
+@functools.cache
+def _fields_by_name(model: type) -> dict[str, _Field]:
+    hints = typing.get_type_hints(model, include_extras=True)
+    return {
+        field.name: _Field(hints[field.name], field.required)
+        for field in msgspec.structs.fields(model)
+    }
+
+
 def _is_struct(model: typing.Any) -> bool:
     return isinstance(model, type) and issubclass(model, msgspec.Struct)
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,5 @@
 import json
+import sys
 
 import hypothesis
 import pytest
@@ -176,6 +177,33 @@
     assert found == [("a.json", "services.x.share"), ("b.json", "$"), ("c.json", "$")]
 
 
+def steps_to_accept(services):
+    """Count the function calls made, as a measure that no clock disturbs."""
+    ranks = {f"r{n}": {"order": n} for n in range(5)}
+    texts = {
+        f"{n:04}.json": json.dumps(
+            {"services": {f"s{n}": {"share": 0, "ranks": ranks}}}
+        )
+        for n in range(services)
+    }
+    count = 0
+
+    def note(frame, event, argument):
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(note)
+    try:
+        acceptance.accept(texts)
+    finally:
+        sys.setprofile(None)
+    return count
+
+
+def test_the_work_grows_with_the_size_of_the_folder_and_no_faster():
+    assert steps_to_accept(160) < 5 * steps_to_accept(40)
+
+
 # ---------------------------------------------------------------------------
 #   Inspection
 # ---------------------------------------------------------------------------
