--- /dev/null
+++ b/bench/call_cost.py
@@ -0,0 +1,86 @@
+"""Measure the processor time and latency that a call costs, on two daemons.
+
+    python -m bench.call_cost
+
+One caller paces its calls to one daemon; half of them are placed on its own
+endpoint and half on the other one.
+"""
+
+import dataclasses
+import json
+import time
+
+import urllib3
+
+from bench import spread
+from emulator import deployment, plans
+
+__all__ = ["CallCost", "measure"]
+
+# Calls per second of one daemon, as a router.
+RATES = (20, 60, 120)
+RUN_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class CallCost:
+    """What one rate has shown.
+
+    :param router_cpu_s_per_s: of the daemon that the caller asks, which is the
+        gate of half of the calls too.
+    :param gate_cpu_s_per_s: of the daemon that is the gate of the other half.
+    """
+
+    rate: float
+    router_cpu_s_per_s: float
+    gate_cpu_s_per_s: float
+    router_rss_mb: float
+
+
+def measure() -> list[CallCost]:
+    """Run every rate on one deployment."""
+    plan = plans.DeploymentPlan(
+        name="cost",
+        regions=("east",),
+        zones_per_region=1,
+        services=(plans.ServicePlan("s", 2, 2.0),),
+        store_region="east",
+        files={"10.json": json.dumps(_FILE)},
+    )
+    with deployment.Deployment(plan, placement="round-robin") as running:
+        time.sleep(2.0)
+        return [_run(running, rate) for rate in RATES]
+
+
+_RANKS = {"lookup": {"order": 0, "idempotent": True}}
+_FILE = {"services": {"s": {"share": 1, "ranks": _RANKS}}}
+
+
+def _run(running: deployment.Deployment, rate: int) -> CallCost:
+    router, gate = running.instances_by_id.values()
+    url = running.front_url(router) + "/work"
+    headers = {"Savoryhollow-Service": "s", "Savoryhollow-Rank": "lookup"}
+    http = urllib3.PoolManager()
+    pids = (router.daemon.pid, gate.daemon.pid)
+    before = [spread.cpu_s(pid) for pid in pids]
+    started = time.monotonic()
+    calls = int(rate * RUN_S)
+    for number in range(calls):
+        http.request("GET", url, headers=headers)
+        time.sleep(max(0.0, started + (number + 1) / rate - time.monotonic()))
+    elapsed = time.monotonic() - started
+    used = [
+        (spread.cpu_s(pid) - was) / elapsed
+        for pid, was in zip(pids, before, strict=True)
+    ]
+    return CallCost(calls / elapsed, used[0], used[1], spread.rss_mb(pids[0]))
+
+
+def main() -> None:
+    """Print one JSON line for each rate."""
+    for cost in measure():
+        print(json.dumps(dataclasses.asdict(cost)))
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,9 +1,10 @@
 """Measure the slopes from which docs/CAPACITY.md is worked out.
 
-    python -m bench.slopes [SPREAD_OUTPUT]
+    python -m bench.slopes SPREAD_OUTPUT COST_OUTPUT
 
-SPREAD_OUTPUT holds the lines that ``python -m bench.spread 10 30 60`` printed.
-The slopes are written to bench/results/slopes.json.
+The two files hold the lines that ``python -m bench.spread 10 30 60`` and
+``python -m bench.call_cost`` printed. The slopes are written to
+bench/results/slopes.json.
 """
 
 import functools
@@ -29,6 +30,7 @@
 RESULTS = pathlib.Path(__file__).parent / "results" / "slopes.json"
 COMMAND = "python -m bench.slopes"
 SPREAD_COMMAND = "python -m bench.spread 10 30 60"
+COST_COMMAND = "python -m bench.call_cost"
 # Sizes measured.
 LIST_SIZES = (1_100, 2_200, 4_400, 8_800)
 SERVICE_SIZES = (42, 85, 170, 340)
@@ -319,12 +321,25 @@
     ]
 
 
+def _cost_slopes(path: pathlib.Path) -> list[Slope]:
+    runs = [json.loads(line) for line in path.read_text().splitlines()]
+    router = [(run["rate"], run["router_cpu_s_per_s"]) for run in runs]
+    gate = [(run["rate"] / 2, run["gate_cpu_s_per_s"]) for run in runs]
+    per = "call/s"
+    return [
+        fit(
+            "call, routed and half served here", "of a core", per, COST_COMMAND, router
+        ),
+        fit("call, served for another", "of a core", per, COST_COMMAND, gate),
+    ]
+
+
 def main() -> None:
-    """Measure and record every slope; keep those of spread where none is given."""
+    """Measure and record every slope."""
     slopes = _list_slopes() + _configuration_slopes() + [_depth_slope()]
     slopes += _import_slopes()
-    if len(sys.argv) > 1:
-        slopes += _spread_slopes(pathlib.Path(sys.argv[1]))
+    slopes += _spread_slopes(pathlib.Path(sys.argv[1]))
+    slopes += _cost_slopes(pathlib.Path(sys.argv[2]))
     RESULTS.parent.mkdir(exist_ok=True)
     text = msgspec.json.format(msgspec.json.encode(slopes), indent=1)
     RESULTS.write_bytes(text + b"\n")
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -17,7 +17,7 @@
 
 from emulator import deployment, plans
 
-__all__ = ["SpreadResult", "measure"]
+__all__ = ["SpreadResult", "cpu_s", "measure", "rss_mb"]
 
 # Revisions published in one run, and the time between two of them, in s.
 REVISIONS = 15
@@ -115,7 +115,7 @@
     idle_rate = (idle_to.relay_bytes - idle_from.relay_bytes) / idle_s
     extra = busy_to.relay_bytes - idle_to.relay_bytes - idle_rate * busy_s
     dumps = [running.dump(i) for i in running.instances_by_id.values()]
-    rss = [_rss_mb(i.daemon.pid) for i in running.instances_by_id.values()]
+    rss = [rss_mb(i.daemon.pid) for i in running.instances_by_id.values()]
     return SpreadResult(
         daemons=daemons,
         readers=sum(dump["is_reader"] for dump in dumps),
@@ -178,7 +178,7 @@
     return _Counts(
         at=time.monotonic(),
         calls=running.platform_reads(),
-        cpu_s=sum(_cpu_s(i.daemon.pid) for i in running.instances_by_id.values()),
+        cpu_s=sum(cpu_s(i.daemon.pid) for i in running.instances_by_id.values()),
         relay_bytes=sum(dump["relay_bytes"] for dump in dumps),
         store_bytes=sum(dump["store_bytes"] for dump in dumps),
     )
@@ -200,13 +200,15 @@
     return {revision: found for revision, found in delays.items() if found}
 
 
-def _cpu_s(pid: int) -> float:
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used, in s."""
     with open(f"/proc/{pid}/stat") as stat:
         fields = stat.read().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-def _rss_mb(pid: int) -> float:
+def rss_mb(pid: int) -> float:
+    """Return the resident memory of a process, in MB."""
     with open(f"/proc/{pid}/status") as status:
         line = next(line for line in status if line.startswith("VmRSS"))
     return int(line.split()[1]) / 1024
