Log each event as one line of JSON, limited and counted

Cause: absl's prefix stood before each event, so no line parsed as JSON, and absl wrote a warning of its own before the first one. A store that is down logged a line a second for as long as it lasted.

Change: a formatter makes a JSON object of every record, messages of libraries and failed threads included, with number, level, wall time and instance. A pure limiter writes 20 lines of an event in 10 s and counts the rest. Two settings choose the levels. docs/EVENTS.md is the catalogue; a test holds numbers, names, levels and fields against the code.

Ruled out: setting only the formatter; the test for whole lines failed on absl's 'Logging before flag parsing' line, so the flags are marked as parsed.

--- a/src/savoryhollow/daemon/process.py
+++ b/src/savoryhollow/daemon/process.py
@@ -5,9 +5,8 @@
 import signal
 import threading
 
-from absl import logging
-
 from savoryhollow.daemon import assembly
+from savoryhollow.observe import events
 from savoryhollow.settings import loading
 
 __all__ = ["run"]
@@ -21,8 +20,9 @@
     :raises errors.SettingsError: where the settings are rejected.
     """
     settings = loading.load_daemon_settings(path)
-    logging.set_verbosity(logging.INFO)
-    logging.use_absl_handler()
+    events.configure(
+        settings.endpoint_id, settings.log_level, settings.placement_log_level
+    )
     told = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: told.set())
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -3,13 +3,18 @@
 The catalogue in docs/EVENTS.md is held against :class:`Event` by a test.
 """
 
+import collections
 import enum
 import json
+import logging
+import threading
+import time
 import typing
 
-from absl import logging
+import absl.flags
+import absl.logging
 
-__all__ = ["Event", "emit"]
+__all__ = ["Event", "configure", "emit", "is_logged", "suppressed_by_event"]
 
 
 class Event(enum.IntEnum):
@@ -22,17 +27,188 @@
     CONFIGURATION_REJECTED = 2002
     STORE_UNREACHABLE = 2003
     MEMBERS_CHANGED = 3001
+    REQUEST_PLACED = 4001
+    LIBRARY_MESSAGE = 9001
+    THREAD_FAILED = 9002
 
 
 _WARNINGS = frozenset((Event.CONFIGURATION_REJECTED, Event.STORE_UNREACHABLE))
+_ERRORS = frozenset((Event.THREAD_FAILED,))
+LEVELS_BY_NAME = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+# Time over which repeated events are counted, in s.
+WINDOW_S = 10.0
+# Lines of one event in a window; the rest are counted.
+LINES_PER_WINDOW = 20
+# Lines of placements in a window.
+PLACEMENTS_PER_WINDOW = 2000
+# Longest text kept of a message that a library logs, in characters.
+MAX_MESSAGE_CHARACTERS = 400
+
+
+def level_of(event: Event) -> int:
+    """Return the level of an event, as the standard library numbers it."""
+    if event in _ERRORS:
+        return logging.ERROR
+    if event is Event.REQUEST_PLACED:
+        return _context.placement_level
+    return logging.WARNING if event in _WARNINGS else logging.INFO
+
+
+# ---------------------------------------------------------------------------
+#   Repeated events
+# ---------------------------------------------------------------------------
+
+
+class EventLimiter:
+    """Lets a few lines of each event through in a window and counts the rest.
+
+    Pure computation: the caller passes the instant.
+    """
+
+    def __init__(self) -> None:
+        self._lines_by_event: collections.Counter[Event] = collections.Counter()
+        self._window_ends_by_event: dict[Event, float] = {}
+        self._unreported_by_event: collections.Counter[Event] = collections.Counter()
+        self.suppressed_by_event: collections.Counter[Event] = collections.Counter()
+
+    def admit(self, event: Event, now: float) -> int | None:
+        """Say whether an event may be logged now.
+
+        :param event: the event.
+        :param now: the present instant, in s.
+        :returns: how many of its kind were left out since the last line, or
+            None where this one is left out too.
+        """
+        if now >= self._window_ends_by_event.get(event, float("-inf")):
+            self._window_ends_by_event[event] = now + WINDOW_S
+            self._lines_by_event[event] = 0
+        if self._lines_by_event[event] >= _lines_per_window(event):
+            self._unreported_by_event[event] += 1
+            self.suppressed_by_event[event] += 1
+            return None
+        self._lines_by_event[event] += 1
+        return self._unreported_by_event.pop(event, 0)
+
+
+def _lines_per_window(event: Event) -> int:
+    if event is Event.REQUEST_PLACED:
+        return PLACEMENTS_PER_WINDOW
+    return LINES_PER_WINDOW
+
+
+# ---------------------------------------------------------------------------
+#   Lines
+# ---------------------------------------------------------------------------
+
+
+class _Context:
+    """What every line of this process carries, and its limiter."""
+
+    def __init__(self) -> None:
+        self.instance = ""
+        self.placement_level = logging.DEBUG
+        self.limiter = EventLimiter()
+        self.lock = threading.Lock()
+
+
+_context = _Context()
+
+
+class JsonFormatter(logging.Formatter):
+    """Makes one line of JSON of every record, events and others alike."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        fields = getattr(record, "event_fields", None)
+        if fields is None:
+            fields = _message_fields(record)
+        line = {
+            "event": fields.pop("event"),
+            "name": fields.pop("name"),
+            "level": record.levelname.lower(),
+            "time": round(record.created, 3),
+            "instance": _context.instance,
+        }
+        return json.dumps(line | fields, default=str)
+
+
+def configure(
+    instance: str, level: str = "info", placement_level: str = "debug"
+) -> None:
+    """Set how this process logs; lines go to standard error.
+
+    :param instance: the endpoint id that every line carries.
+    :param level: the lowest level that is logged.
+    :param placement_level: the level of each placement's event.
+    """
+    _context.instance = instance
+    _context.placement_level = LEVELS_BY_NAME[placement_level]
+    # Else absl writes a line of its own, not JSON, before the first event.
+    absl.flags.FLAGS.mark_as_parsed()
+    absl.flags.FLAGS.logtostderr = True
+    absl.logging.use_absl_handler()
+    absl.logging.get_absl_handler().setFormatter(JsonFormatter())
+    absl.logging.set_verbosity(
+        absl.logging.converter.standard_to_absl(LEVELS_BY_NAME[level])
+    )
+    threading.excepthook = _report_thread
+
+
+def is_logged(event: Event) -> bool:
+    """Return whether an event's level is logged, before its fields are made."""
+    return absl.logging.get_absl_logger().isEnabledFor(level_of(event))
 
 
 def emit(event: Event, **fields: typing.Any) -> None:
-    """Log an event.
+    """Log an event, unless too many of its kind were logged just now.
 
     :param event: the event.
     :param fields: what is known about it; never a body or secret of a caller.
     """
-    line = json.dumps({"event": int(event), "name": event.name.lower(), **fields})
-    level = logging.WARNING if event in _WARNINGS else logging.INFO
-    logging.log(level, "%s", line)
+    if not is_logged(event):
+        return
+    with _context.lock:
+        suppressed = _context.limiter.admit(event, time.monotonic())
+    if suppressed is None:
+        return
+    line: dict[str, typing.Any] = {"event": int(event), "name": event.name.lower()}
+    if suppressed:
+        line["suppressed"] = suppressed
+    logger = absl.logging.get_absl_logger()
+    extra = {"event_fields": line | fields}
+    logger.log(level_of(event), event.name.lower(), extra=extra)
+
+
+def suppressed_by_event() -> dict[str, int]:
+    """Return how many lines were left out, by the name of the event."""
+    with _context.lock:
+        counts = dict(_context.limiter.suppressed_by_event)
+    return {event.name.lower(): count for event, count in counts.items()}
+
+
+def _message_fields(record: logging.LogRecord) -> dict[str, typing.Any]:
+    return {
+        "event": int(Event.LIBRARY_MESSAGE),
+        "name": Event.LIBRARY_MESSAGE.name.lower(),
+        "logger": record.name,
+        "text": record.getMessage()[:MAX_MESSAGE_CHARACTERS],
+    }
+
+
+def _report_thread(failure: threading.ExceptHookArgs) -> None:
+    # The text of the exception is left out, as it may quote a caller.
+    trace = failure.exc_traceback
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    emit(
+        Event.THREAD_FAILED,
+        thread=getattr(failure.thread, "name", ""),
+        error=failure.exc_type.__name__,
+        function=trace.tb_frame.f_code.co_name if trace else "",
+        line=trace.tb_lineno if trace else 0,
+    )
--- a/src/savoryhollow/settings/models.py
+++ b/src/savoryhollow/settings/models.py
@@ -62,3 +62,17 @@
             description="how an endpoint is chosen",
         ),
     ] = "evidence"
+    log_level: Annotated[
+        str,
+        msgspec.Meta(
+            pattern="^(debug|info|warning|error)$",
+            description="the lowest level of event that is logged",
+        ),
+    ] = "info"
+    placement_log_level: Annotated[
+        str,
+        msgspec.Meta(
+            pattern="^(debug|info|warning|error)$",
+            description="the level of the event of each placement",
+        ),
+    ] = "debug"
