Serve metrics, and record why each request went where it went

Cause: nothing told latency by service and rank, refusals, spending or the state of the process; a placement record said neither why an endpoint was chosen nor how long the request waited at its gate.

Change: plain counters on the data path (requests, placements, runs at the gate), copied on a scrape and rendered by aioprometheus. A placement record carries what was known of the endpoint when it was chosen, the reason of a refusal and the bytes. The gate's side of a request (wait, run) is recorded at the gate itself, so no reply carries it over the link. Dumps show at most 500 entries of a kind. Label values are escaped, which the formatter leaves out.

Ruled out: incrementing aioprometheus' collectors on the data path (a JSON encoding of the labels for every count); labels by endpoint (8,800 of them); the names that callers send (one made-up name each would be a series each).

--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -13,7 +13,15 @@
 from savoryhollow.daemon import dump
 from savoryhollow.front import service as front_service
 from savoryhollow.membership import table
-from savoryhollow.observe import events, operator_port, placements
+from savoryhollow.observe import (
+    events,
+    metrics,
+    operator_port,
+    placements,
+    requests,
+    runs,
+    vitals,
+)
 from savoryhollow.recovery import register
 from savoryhollow.routing import peers, placement, router
 from savoryhollow.settings import models as settings_models
@@ -39,7 +47,10 @@
         self.settings = settings
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.members = table.MemberTable()
-        self.placements = placements.PlacementRing()
+        self.placements = placements.PlacementRing(settings.placement_records)
+        self.runs = runs.RunLog(settings.placement_records)
+        self.requests = requests.RequestTotals()
+        self.lag = vitals.LagMeter()
         hello = messages.HelloMessage(
             messages.PROTOCOL_VERSION, settings.endpoint_id, self.incarnation
         )
@@ -53,6 +64,7 @@
         self._reader.start()
         self._inner.start()
         self._operator.start()
+        self.lag.start()
         self._front.start()
         events.emit(
             events.Event.DAEMON_STARTED,
@@ -74,7 +86,8 @@
         self._front.stop()
         self._reader.stop()
         self._inner.stop()
-        self._connections.close()
+        self.connections.close()
+        self.lag.stop()
         self._operator.stop()
         self._backend.close()
         events.emit(events.Event.DAEMON_STOPPED, drained=drained)
@@ -91,23 +104,25 @@
         )
         self._queue = queueing.AdmissionQueue(settings.slots, 0, {})
         self.outcomes = register.OutcomeRegister()
-        self.gate = gate_module.Gate(self._queue, self.outcomes, self._backend.run)
+        self.gate = gate_module.Gate(
+            self._queue, self.outcomes, self.runs.observe(self._backend.run)
+        )
 
     def _build_router(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
         vantage = placement.Vantage(
             settings.endpoint_id, settings.region, settings.zone
         )
-        self._connections = peers.PeerConnections(hello)
+        self.connections = peers.PeerConnections(hello)
         policy = placement.make_policy(settings.placement, vantage, random.Random())
         self.router = router.Router(
             vantage,
             self.incarnation,
             self.members,
-            self._connections,
+            self.connections,
             self.gate,
             policy,
-            self.placements.add,
+            self._record,
         )
 
     def _build_store(self) -> None:
@@ -133,7 +148,9 @@
             settings.front_threads,
             settings.max_body_bytes,
             front_service.make_handler(
-                lambda: self.router.configuration, self.router.route, self.router.redeem
+                lambda: self.router.configuration,
+                self.requests.observe(self.router.route),
+                self.router.redeem,
             ),
         )
         self._operator = webserver.WebServer(
@@ -145,6 +162,7 @@
                 {
                     "/dump": lambda _: dump.dump_daemon(self),
                     "/placements": lambda _: self.placements.totals(),
+                    "/metrics": lambda _: self._scrape(),
                     "/trace": self._trace,
                 }
             ),
@@ -160,6 +178,19 @@
             }
             self.gate.configure(own.queue_limit, rules)
 
-    def _trace(self, address: urllib.parse.SplitResult) -> list[dict]:
+    # -----------------------------------------------------------------------
+    #   What operators see
+    # -----------------------------------------------------------------------
+
+    def _record(self, record: placements.PlacementRecord) -> None:
+        self.placements.add(record)
+        if events.is_logged(events.Event.REQUEST_PLACED):
+            events.emit(events.Event.REQUEST_PLACED, placement=dump.plain(record))
+
+    def _scrape(self) -> operator_port.Text:
+        page = metrics.render(dump.snapshot(self))
+        return operator_port.Text(metrics.CONTENT_TYPE, page)
+
+    def _trace(self, address: urllib.parse.SplitResult) -> dict:
         request_id = urllib.parse.parse_qs(address.query).get("id", [""])[0]
-        return dump.plain(self.placements.find(request_id))
+        return dump.trace_request(self, request_id)
--- a/src/savoryhollow/daemon/dump.py
+++ b/src/savoryhollow/daemon/dump.py
@@ -1,22 +1,34 @@
-"""The state of a process, as versioned JSON."""
+"""The state of a process, as versioned JSON.
+
+Everything here only copies: a dump takes each lock for the time of one copy,
+and its size is bounded whatever the size of the fleet.
+"""
 
 import dataclasses
+import time
 import typing
 
 import msgspec
 
+from savoryhollow.observe import events, metrics, vitals
+
 if typing.TYPE_CHECKING:
     from savoryhollow.daemon import assembly
 
-__all__ = ["DUMP_VERSION", "dump_daemon", "plain"]
+__all__ = ["DUMP_VERSION", "dump_daemon", "plain", "snapshot", "trace_request"]
 
 # Raised whenever a key of the dump changes its meaning or goes away.
 DUMP_VERSION = 1
+# Entries of one kind that a dump shows; ``counts`` has the whole numbers.
+MAX_ENTRIES = 500
 
 
 def plain(value: typing.Any) -> typing.Any:
-    """Return data classes and models as JSON values."""
-    return msgspec.to_builtins(value, str_keys=True)
+    """Return data classes and models as JSON values.
+
+    :param value: the value; an infinite number becomes null.
+    """
+    return msgspec.json.decode(msgspec.json.encode(value))
 
 
 def dump_daemon(daemon: "assembly.Daemon") -> dict[str, typing.Any]:
@@ -25,16 +37,91 @@
     :param daemon: the daemon.
     :returns: a JSON object; ``version`` tells its layout.
     """
+    evidence = daemon.router.evidence_by_id()
+    totals = daemon.placements.totals()
+    accounts = daemon.placements.accounts()
     return {
         "version": DUMP_VERSION,
         "endpoint_id": daemon.settings.endpoint_id,
         "service": daemon.settings.service,
+        "region": daemon.settings.region,
+        "zone": daemon.settings.zone,
         "incarnation": daemon.incarnation,
+        "placement": daemon.settings.placement,
         "configuration_revision": daemon.holder.revision,
         "list_revision": daemon.members.revision,
         "store_reads": daemon.store.reads,
         "load": dataclasses.asdict(daemon.gate.report()),
         "outcome_records": len(daemon.outcomes),
-        "evidence_by_endpoint": plain(daemon.router.evidence_by_id()),
-        "placements": daemon.placements.totals(),
+        "counts": {"evidence": len(evidence), "placements": len(totals)},
+        "evidence_by_endpoint": _evidence(evidence),
+        "placements": _first(totals),
+        "accounts": plain(accounts[-MAX_ENTRIES:]),
+        "requests": plain(daemon.requests.totals()[:MAX_ENTRIES]),
+        "runs": plain(daemon.runs.totals()[:MAX_ENTRIES]),
+        "retries_left_by_service": _first(daemon.router.retries_left_by_service()),
+        "peer_bytes_by_region": daemon.connections.bytes_by_region(),
+        "suppressed_by_event": events.suppressed_by_event(),
+        "vitals": plain(vitals.read_vitals()),
+        "lag_s": daemon.lag.last_s,
+    }
+
+
+def snapshot(daemon: "assembly.Daemon") -> metrics.MetricsSnapshot:
+    """Return the counts of a daemon for its metrics.
+
+    :param daemon: the daemon.
+    """
+    now = time.monotonic()
+    evidence = daemon.router.evidence_by_id().values()
+    return metrics.MetricsSnapshot(
+        endpoint_id=daemon.settings.endpoint_id,
+        region=daemon.settings.region,
+        requests=daemon.requests.totals(),
+        runs=daemon.runs.totals(),
+        placements=daemon.placements.accounts(),
+        retries_by_service=daemon.placements.retries_by_service(),
+        retries_left_by_service=daemon.router.retries_left_by_service(),
+        load=daemon.gate.report(),
+        outcome_records=len(daemon.outcomes),
+        evidence_ages_s=[
+            now - held.reported_at for held in evidence if held.report is not None
+        ],
+        link_bytes_by_region=daemon.connections.bytes_by_region(),
+        revision=daemon.holder.revision,
+        list_revision=daemon.members.revision,
+        platform_calls=daemon.store.reads,
+        suppressed_by_event=events.suppressed_by_event(),
+        vitals=vitals.read_vitals(),
+        lag_s=daemon.lag.last_s,
+        highest_lag_s=daemon.lag.take_highest(),
+    )
+
+
+def trace_request(daemon: "assembly.Daemon", request_id: str) -> dict[str, typing.Any]:
+    """Return what a daemon knows of one request.
+
+    :param daemon: the daemon.
+    :param request_id: the id that the caller's answer carried.
+    :returns: a JSON object with the attempts made from here, the runs here,
+        and the refusal given from here, each a list that may be empty.
+    """
+    return {
+        "version": DUMP_VERSION,
+        "endpoint_id": daemon.settings.endpoint_id,
+        "placement": daemon.settings.placement,
+        "placements": plain(daemon.placements.find(request_id)),
+        "runs": plain(daemon.runs.find(request_id)),
+        "refusals": plain(daemon.requests.find(request_id)),
     }
+
+
+def _evidence(evidence_by_id: dict) -> typing.Any:
+    newest = sorted(
+        evidence_by_id, key=lambda i: evidence_by_id[i].reported_at, reverse=True
+    )
+    return plain({i: evidence_by_id[i] for i in newest[:MAX_ENTRIES]})
+
+
+def _first(values: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    return dict(list(values.items())[-MAX_ENTRIES:])
--- a/src/savoryhollow/observe/operator_port.py
+++ b/src/savoryhollow/observe/operator_port.py
@@ -1,13 +1,25 @@
 """What a daemon serves to operators: its state, and the way of one request."""
 
 import collections.abc
+import dataclasses
 import json
 import typing
 import urllib.parse
 
 from savoryhollow import calls, webserver
 
-__all__ = ["make_handler"]
+__all__ = ["Text", "make_handler"]
+
+JSON_TYPE = "application/json"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Text:
+    """An answer that is not JSON."""
+
+    content_type: str
+    body: bytes
+
 
 Route = collections.abc.Callable[[urllib.parse.SplitResult], typing.Any]
 
@@ -16,7 +28,7 @@
     """Return the function that answers operators.
 
     :param routes_by_path: a function for each path; it gets the split address
-        and returns a JSON value.
+        and returns a JSON value or a :class:`Text`.
     :returns: a handler for a web server.
     """
 
@@ -26,11 +38,16 @@
         if route is None:
             known = ", ".join(sorted(routes_by_path))
             return _answer(404, {"remedy": f"unknown path; known are {known}"})
+        if request.method != "GET":
+            return _answer(405, {"remedy": "nothing can be changed here; use GET"})
         return _answer(200, route(address))
 
     return handle
 
 
 def _answer(status: int, value: typing.Any) -> webserver.HttpAnswer:
-    headers = (calls.Header("Content-Type", "application/json"),)
-    return webserver.HttpAnswer(status, headers, json.dumps(value).encode())
+    text = value
+    if not isinstance(value, Text):
+        text = Text(JSON_TYPE, json.dumps(value).encode())
+    headers = (calls.Header("Content-Type", text.content_type),)
+    return webserver.HttpAnswer(status, headers, text.body)
--- /dev/null
+++ b/src/savoryhollow/observe/vitals.py
@@ -0,0 +1,70 @@
+"""What this process takes of its instance, and how late its threads wake."""
+
+import dataclasses
+import pathlib
+import resource
+import threading
+import time
+
+__all__ = ["LagMeter", "Vitals", "read_vitals"]
+
+# Time between two looks at the lag, in s.
+LAG_INTERVAL_S = 1.0
+STATM = pathlib.Path("/proc/self/statm")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vitals:
+    """The resources of this process.
+
+    :param cpu_s: processor time used since the start.
+    :param resident_bytes: resident memory.
+    """
+
+    cpu_s: float
+    resident_bytes: int
+    threads: int
+
+
+def read_vitals() -> Vitals:
+    """Return the resources that this process uses now."""
+    try:
+        pages = int(STATM.read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        pages = 0
+    resident = pages * resource.getpagesize()
+    return Vitals(time.process_time(), resident, threading.active_count())
+
+
+class LagMeter:
+    """Measures how late a sleeping thread wakes.
+
+    A late wake tells of a busy machine, a held interpreter lock, or a pause of
+    the whole process.
+    """
+
+    def __init__(self) -> None:
+        self._stop = threading.Event()
+        self._highest_s = 0.0
+        self.last_s = 0.0
+
+    def start(self) -> None:
+        """Begin to measure in the background."""
+        threading.Thread(target=self._measure, name="lag", daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop to measure."""
+        self._stop.set()
+
+    def take_highest(self) -> float:
+        """Return the longest lag since the last call, in s."""
+        highest, self._highest_s = self._highest_s, 0.0
+        return max(highest, self.last_s)
+
+    def _measure(self) -> None:
+        while not self._stop.is_set():
+            wake_at = time.monotonic() + LAG_INTERVAL_S
+            if self._stop.wait(LAG_INTERVAL_S):
+                return
+            self.last_s = max(0.0, time.monotonic() - wake_at)
+            self._highest_s = max(self._highest_s, self.last_s)
--- a/src/savoryhollow/routing/peers.py
+++ b/src/savoryhollow/routing/peers.py
@@ -20,6 +20,8 @@
         self._lock = threading.Lock()
         self._locks_by_id: dict[str, threading.Lock] = {}
         self._exchanges_by_id: dict[str, exchange.Exchange] = {}
+        self._regions_by_id: dict[str, str] = {}
+        self._closed_bytes_by_region: dict[str, int] = {}
 
     def open(self, endpoint: table.Endpoint) -> exchange.Exchange:
         """Return the connection to an endpoint's daemon.
@@ -36,7 +38,10 @@
         with lock:
             known = self._exchanges_by_id.get(endpoint.endpoint_id)
             if known is None or known.closed:
+                if known is not None:
+                    self._note_closed(endpoint.endpoint_id, known)
                 known = self._connect(endpoint)
+                self._regions_by_id[endpoint.endpoint_id] = endpoint.region
                 self._exchanges_by_id[endpoint.endpoint_id] = known
             return known
 
@@ -47,11 +52,25 @@
             known.close()
         return self.open(endpoint)
 
+    def bytes_by_region(self) -> dict[str, int]:
+        """Return the bytes sent to and received from each region since the start."""
+        totals = dict(self._closed_bytes_by_region)
+        for endpoint_id, known in list(self._exchanges_by_id.items()):
+            region = self._regions_by_id[endpoint_id]
+            totals[region] = totals.get(region, 0) + known.bytes_total
+        return totals
+
     def close(self) -> None:
         """Close every connection."""
         for known in list(self._exchanges_by_id.values()):
             known.close()
 
+    def _note_closed(self, endpoint_id: str, known: exchange.Exchange) -> None:
+        del self._exchanges_by_id[endpoint_id]
+        region = self._regions_by_id[endpoint_id]
+        before = self._closed_bytes_by_region.get(region, 0)
+        self._closed_bytes_by_region[region] = before + known.bytes_total
+
     def _connect(self, endpoint: table.Endpoint) -> exchange.Exchange:
         opened, peer = channel.connect(endpoint.host, endpoint.port, self._hello)
         if peer.endpoint_id != endpoint.endpoint_id:
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -11,7 +11,7 @@
 from savoryhollow.membership import table
 from savoryhollow.observe import placements
 from savoryhollow.recovery import retrying
-from savoryhollow.routing import evidence, peers, placement
+from savoryhollow.routing import evidence, peers, placement, reasons
 from savoryhollow.wire import exchange, messages
 
 __all__ = ["Router"]
@@ -132,6 +132,12 @@
         with self._lock:
             return dict(self._evidence_by_id)
 
+    def retries_left_by_service(self) -> dict[str, float]:
+        """Return the retries that may be made now for each service."""
+        with self._lock:
+            budgets = dict(self._budgets_by_service)
+        return {service: budget.saved for service, budget in budgets.items()}
+
     def _find(self, service: str, endpoint_id: str) -> table.Endpoint | None:
         for endpoint in self._members.endpoints(service):
             if endpoint.endpoint_id == endpoint_id:
@@ -163,6 +169,7 @@
     def _attempt(self, call, candidate, attempt) -> calls.Outcome:
         endpoint = candidate.endpoint
         started = time.monotonic()
+        choice = reasons.explain(candidate, self._vantage, started)
         # An id names one attempt, so that a bar at one gate bars no other.
         attempt_id = f"{call.request_id}.{attempt}"
         message = _message(call, attempt_id, started)
@@ -183,6 +190,12 @@
                 outcome=placements.name_of(outcome),
                 duration_ms=(time.monotonic() - started) * 1e3,
                 ended_unix_s=time.time(),
+                attempt_id=attempt_id,
+                detail=placements.detail_of(outcome),
+                crossed_region=endpoint.region != self._vantage.region,
+                request_bytes=len(call.body),
+                answer_bytes=len(getattr(outcome, "body", b"")),
+                choice=choice,
             )
         )
         return outcome
--- a/src/savoryhollow/settings/models.py
+++ b/src/savoryhollow/settings/models.py
@@ -76,3 +76,7 @@
             description="the level of the event of each placement",
         ),
     ] = "debug"
+    placement_records: Annotated[
+        int,
+        msgspec.Meta(ge=0, le=65536, description="placements and runs kept for traces"),
+    ] = 4096
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,211 @@
+import collections
+import re
+import types
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from savoryhollow import calls, errors
+from savoryhollow.backend import client
+from savoryhollow.daemon import dump
+from savoryhollow.observe import metrics, placements, requests, runs, vitals
+from savoryhollow.routing import evidence
+from savoryhollow.wire import messages
+
+SAMPLE = re.compile(r"([a-z_]+)(?:\{(.*)\})? (\S+)")
+LOAD = messages.LoadReport(3, 2, 9, 20_000, False)
+
+
+def call(service="dispatch", rank="lookup", request_id="id"):
+    return calls.Call(
+        request_id, service, rank, "c", 1.0, True, 0, 3, "GET", "/", (), b"secret"
+    )
+
+
+def served(request_id="id"):
+    return calls.Served(request_id, "dispatch-0", 200, (), b"answer")
+
+
+def refused(reason, request_id="id"):
+    return calls.NotRun(request_id, reason, 50)
+
+
+def snapshot(**fields):
+    empty = {
+        "endpoint_id": "dispatch-0",
+        "region": "east",
+        "requests": [],
+        "runs": [],
+        "placements": [],
+        "retries_by_service": {},
+        "retries_left_by_service": {},
+        "load": LOAD,
+        "outcome_records": 0,
+        "evidence_ages_s": [],
+        "link_bytes_by_region": {},
+        "revision": 1,
+        "list_revision": 1,
+        "platform_calls": 0,
+        "suppressed_by_event": {},
+        "vitals": vitals.read_vitals(),
+        "lag_s": 0.0,
+        "highest_lag_s": 0.0,
+    }
+    return metrics.MetricsSnapshot(**(empty | fields))
+
+
+def samples(page):
+    lines = [line for line in page.decode().splitlines() if not line.startswith("#")]
+    return {
+        (match[1], frozenset((match[2] or "").split(","))): float(match[3])
+        for match in map(SAMPLE.fullmatch, lines)
+    }
+
+
+def labels(**values):
+    return frozenset(f'{name}="{value}"' for name, value in values.items())
+
+
+@hypothesis.given(strategies.lists(strategies.floats(0, 20), max_size=40))
+def test_buckets_add_up_to_the_served_requests(times):
+    totals = requests.RequestTotals()
+    for response_s in times:
+        totals.add(call(), served(), response_s)
+    found = samples(metrics.render(snapshot(requests=totals.totals())))
+    name = "savoryhollow_request_duration_seconds"
+    pair = {"service": "dispatch", "rank": "lookup"}
+    if times:
+        assert found[name + "_count", labels(**pair)] == len(times)
+        assert found[name + "_sum", labels(**pair)] == pytest.approx(sum(times))
+    for bound in requests.BUCKETS_S if times else ():
+        below = sum(response_s <= bound for response_s in times)
+        assert found[name + "_bucket", labels(**pair, le=bound)] == below
+
+
+def test_names_of_callers_make_no_series_of_their_own():
+    totals = requests.RequestTotals()
+    for number in range(5000):
+        reason = calls.NotRunReason.UNKNOWN_SERVICE
+        totals.add(call(service=f"made-up-{number}"), refused(reason), 0.001)
+    found = samples(metrics.render(snapshot(requests=totals.totals())))
+    key = labels(service="other", rank="other", reason="unknown-service")
+    assert found["savoryhollow_refusals_total", key] == 5000
+    assert not any("made-up" in label for _, shown in found for label in shown)
+
+
+def test_series_are_bounded_at_the_size_to_design_for():
+    totals = requests.RequestTotals()
+    ring = placements.PlacementRing(size=10)
+    for service in range(340):
+        for rank in range(3):
+            asked = call(f"service-{service}", f"rank-{rank}")
+            totals.add(asked, served(), 0.01)
+            for reason in calls.NotRunReason:
+                totals.add(asked, refused(reason), 0.01)
+            for endpoint in range(26):
+                ring.add(record(asked.service, asked.rank, f"endpoint-{endpoint}"))
+    page = metrics.render(
+        snapshot(requests=totals.totals(), placements=ring.accounts())
+    )
+    per_pair = len(requests.BUCKETS_S) + 3 + 4 + len(calls.NotRunReason)
+    regions_and_outcomes = 4 * 4
+    limit = 340 * 3 * (per_pair + regions_and_outcomes) + 100
+    assert len(samples(page)) < limit
+    assert "endpoint-" not in page.decode()
+
+
+def test_counts_stay_bounded_and_whole_with_more_pairs_than_kept(monkeypatch):
+    monkeypatch.setattr(requests, "MAX_PAIRS", 5)
+    totals = requests.RequestTotals()
+    for number in range(20):
+        totals.add(call(service=f"s-{number}"), served(), 0.01)
+    kept = totals.totals()
+    assert len(kept) == 6
+    assert sum(total.outcomes["served"] for total in kept) == 20
+
+
+def test_label_values_are_escaped():
+    totals = requests.RequestTotals()
+    totals.add(call(service='a"b\\c\nd'), served(), 0.01)
+    page = metrics.render(snapshot(requests=totals.totals())).decode()
+    assert 'service="a\\"b\\\\c\\nd"' in page
+
+
+def record(service, rank, endpoint_id, outcome="served", attempt=0):
+    return placements.PlacementRecord(
+        "id", service, rank, attempt, endpoint_id, "east", outcome, 1.0, 1.0
+    )
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from("ab"),
+            strategies.integers(0, 30),
+            strategies.sampled_from(["served", "not-run"]),
+            strategies.integers(0, 2),
+        ),
+        max_size=80,
+    )
+)
+def test_totals_stay_whole_when_endpoints_come_and_go(attempts):
+    ring = placements.PlacementRing(size=4)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(placements, "MAX_TOTALS", 6)
+        for service, number, outcome, attempt in attempts:
+            ring.add(record(service, "rank", f"e-{number}", outcome, attempt))
+    counted = collections.Counter()
+    for total in ring.accounts():
+        counted[total.service, total.outcome] += total.attempts
+    made = collections.Counter((attempt[0], attempt[2]) for attempt in attempts)
+    assert counted == made
+    assert sum(ring.totals().values()) == len(attempts)
+    assert len(ring.accounts()) <= 6 + 4
+    retries = sum(attempt[3] > 0 for attempt in attempts)
+    assert sum(ring.retries_by_service().values()) == retries
+
+
+# ---------------------------------------------------------------------------
+#   Runs and dumps
+# ---------------------------------------------------------------------------
+
+
+def message(attempt_id="id.0"):
+    return messages.CallMessage(
+        attempt_id, "dispatch", "lookup", "c", 500_000, True, 0, 3, "GET", "/", (), b""
+    )
+
+
+def test_a_run_is_recorded_with_its_wait_and_its_end(monkeypatch):
+    instants = iter([10.2, 10.3, 10.4, 10.5])
+    clock = types.SimpleNamespace(monotonic=lambda: next(instants), time=lambda: 7.0)
+    monkeypatch.setattr(runs, "time", clock)
+    answers = iter([client.BackendAnswer(200, (), b"four")])
+
+    def run(call, deadline):
+        try:
+            return next(answers)
+        except StopIteration:
+            raise errors.BackendError("lost; ask again", started=True) from None
+
+    log = runs.RunLog()
+    observed = log.observe(run)
+    # The call arrived at 10.0, as 0.5 s of its time remained then.
+    observed(message(), 10.5)
+    with pytest.raises(errors.BackendError):
+        observed(message("id.1"), 10.5)
+    first, second = log.find("id")
+    assert (first.outcome, first.status, first.answer_bytes) == ("answered", 200, 4)
+    assert first.waited_ms == pytest.approx(200)
+    assert first.ran_ms == pytest.approx(100)
+    assert (second.attempt_id, second.outcome) == ("id.1", "lost")
+    assert {(t.outcome, t.runs) for t in log.totals()} == {("answered", 1), ("lost", 1)}
+
+
+def test_a_dump_is_bounded_in_size():
+    held = {f"e-{i}": evidence.EndpointEvidence(reported_at=i) for i in range(8800)}
+    shown = dump._evidence(held)
+    assert len(shown) == dump.MAX_ENTRIES
+    assert "e-8799" in shown
+    assert shown["e-8799"]["failing_until"] is None
