Give operators check, diff, explain, trace, top and a settings reference

Cause: the command could run a daemon, check a folder and print a dump; how a value came about, where a request went and what each rank gets had to be read out of JSON by hand.

Change: check, diff and explain show values with the file that set them; trace joins what the placing daemon and the gate's daemon know of each attempt; top sums the daemons asked by service and rank. The settings reference is written from the models and a test holds the page against them. The operator port is on loopback where the settings name none.

Host names and port 0 of a server to connect to are refused now.

--- a/src/savoryhollow/cli/main.py
+++ b/src/savoryhollow/cli/main.py
@@ -1,34 +1,47 @@
 """The ``savoryhollow`` command."""
 
+import dataclasses
 import json
 import pathlib
 import sys
+import time
+import typing
 from typing import Annotated
 
 import typer
-import urllib3
 
 from savoryhollow import errors
-from savoryhollow.configuration import acceptance, merging
+from savoryhollow.cli import asking, inspecting, ranking, reference, tracing
+from savoryhollow.configuration import inspection, merging
 from savoryhollow.daemon import process
 
 __all__ = ["app"]
 
-# Exit statuses.
+# Exit statuses; 2 is a wrong use of the command.
 REJECTED = 1
 UNREACHABLE = 3
-# Limit of one question to a daemon, in s.
-ASK_LIMIT_S = 5.0
 
 app = typer.Typer(
     no_args_is_help=True,
     add_completion=False,
     pretty_exceptions_enable=False,
+    rich_markup_mode=None,
     help="A load balancer for servers whose load shifts in milliseconds.",
+    epilog="Exit statuses: 0 done, 1 rejected or not found, 2 wrong usage, "
+    "3 a daemon can't be reached.",
 )
 
 Folder = Annotated[pathlib.Path, typer.Argument(help="A folder of JSON files.")]
 Operator = Annotated[str, typer.Argument(help="Operator port, as HOST:PORT.")]
+Operators = Annotated[
+    list[str], typer.Argument(help="Operator ports, each as HOST:PORT.")
+]
+AsJson = Annotated[bool, typer.Option("--json", help="Print JSON for a program.")]
+
+
+# ---------------------------------------------------------------------------
+#   Daemon and settings
+# ---------------------------------------------------------------------------
 
 
 @app.command()
@@ -43,33 +56,144 @@
     raise typer.Exit(status)
 
 
+@app.command("settings-reference")
+def settings_reference() -> None:
+    """Print the reference of every setting, in Markdown."""
+    typer.echo(reference.page(), nl=False)
+
+
+# ---------------------------------------------------------------------------
+#   Configuration folders
+# ---------------------------------------------------------------------------
+
+
 @app.command()
-def check(folder: Folder) -> None:
-    """Accept or reject a configuration folder, as every daemon would."""
-    try:
-        texts = merging.read_folder(folder)
-        acceptance.accept(texts)
-    except errors.ConfigurationError as error:
-        _fail(str(error), REJECTED)
-    merged = merging.merge(texts)
-    typer.echo(json.dumps(merged.document, indent=2, sort_keys=True))
+def check(folder: Folder, as_json: AsJson = False) -> None:
+    """Accept or reject a folder, as every daemon would.
+
+    An accepted one is shown merged, each value with the file that set it.
+    """
+    settings = _inspect(lambda: inspection.check(merging.read_folder(folder)))
+    _show(as_json, settings, inspecting.setting_lines(settings))
+
+
+@app.command()
+def diff(
+    old: Annotated[pathlib.Path, typer.Argument(help="The folder before.")],
+    new: Annotated[pathlib.Path, typer.Argument(help="The folder after.")],
+    as_json: AsJson = False,
+) -> None:
+    """Show what changes where one folder replaces another."""
+    changes = _inspect(
+        lambda: inspection.diff(merging.read_folder(old), merging.read_folder(new))
+    )
+    _show(as_json, changes, inspecting.change_lines(changes) or ["no change"])
+
+
+@app.command()
+def explain(
+    folder: Folder,
+    path: Annotated[
+        str, typer.Argument(help="A dotted path, such as services.dispatch.share.")
+    ],
+    as_json: AsJson = False,
+) -> None:
+    """Show how a value came about, file by file."""
+    found = _inspect(lambda: inspection.explain(merging.read_folder(folder), path))
+    _show(as_json, found, inspecting.explanation_lines(found))
+
+
+# ---------------------------------------------------------------------------
+#   Running daemons
+# ---------------------------------------------------------------------------
 
 
 @app.command()
 def dump(operator: Operator) -> None:
-    """Print the state of a daemon."""
-    typer.echo(json.dumps(_ask(operator, "/dump"), indent=2))
+    """Print the state of a daemon, as JSON."""
+    try:
+        state = json.loads(asking.ask(operator, "/dump"))
+    except (errors.OperatorPortError, ValueError) as error:
+        _fail(str(error), UNREACHABLE)
+    typer.echo(json.dumps(state, indent=2))
+
+
+@app.command()
+def trace(
+    request_id: Annotated[
+        str, typer.Argument(help="The Savoryhollow-Request-Id of an answer.")
+    ],
+    operators: Operators,
+    as_json: AsJson = False,
+) -> None:
+    """Follow one request through the daemons asked."""
+    path = asking.trace_path(request_id)
+    gathered = asking.gather(operators, path, asking.TraceReply)
+    found = tracing.join(request_id, gathered.replies)
+    if found.attempts or found.refusals:
+        _show(as_json, found, tracing.lines(found))
+    _report(gathered)
+    if not found.attempts and not found.refusals:
+        text = (
+            f"request {request_id} is not known there; ask the daemon that it was"
+            " sent to, before newer requests or a restart take its record's place"
+        )
+        _fail(text, REJECTED)
 
 
-def _ask(operator: str, path: str):
-    url = f"http://{operator}{path}"
+@app.command()
+def top(
+    operators: Operators,
+    once: Annotated[
+        bool, typer.Option("--once", help="Print totals since the start, and end.")
+    ] = False,
+    interval_s: Annotated[
+        float, typer.Option("--interval", min=0.2, help="Seconds between two looks.")
+    ] = 2.0,
+    as_json: AsJson = False,
+) -> None:
+    """Show services by rank, summed over the daemons asked."""
+    gathered = asking.gather(operators, "/dump", asking.DumpReply)
+    table = ranking.rows(gathered.replies)
+    if once or as_json:
+        _show(as_json, table, ranking.lines(table))
+        _report(gathered)
+        return
+    while True:
+        time.sleep(interval_s)
+        gathered = asking.gather(operators, "/dump", asking.DumpReply)
+        later = ranking.rows(gathered.replies)
+        typer.clear()
+        typer.echo("\n".join(ranking.lines(ranking.since(table, later))))
+        for failure in gathered.failures:
+            typer.echo(str(failure), err=True)
+        table = later
+
+
+# ---------------------------------------------------------------------------
+#   Output
+# ---------------------------------------------------------------------------
+
+
+def _inspect(question: typing.Callable[[], typing.Any]) -> typing.Any:
     try:
-        response = urllib3.request("GET", url, timeout=ASK_LIMIT_S, retries=False)
-        return response.json()
-    except urllib3.exceptions.HTTPError as error:
-        _fail(f"{url}: {error}; check the operator port", UNREACHABLE)
+        return question()
+    except errors.ConfigurationError as error:
+        _fail(str(error), REJECTED)
+
+
+def _show(as_json: bool, value: typing.Any, lines: list[str]) -> None:
+    if as_json:
+        typer.echo(json.dumps(value, default=dataclasses.asdict, indent=2))
+    else:
+        typer.echo("\n".join(lines))
+
+
+def _report(gathered: asking.Gathered) -> None:
+    if gathered.failures:
+        _fail("\n".join(str(failure) for failure in gathered.failures), UNREACHABLE)
 
 
-def _fail(text: str, status: int) -> None:
+def _fail(text: str, status: int) -> typing.NoReturn:
     print(text, file=sys.stderr)
     raise typer.Exit(status)
--- /dev/null
+++ b/src/savoryhollow/cli/tracing.py
@@ -0,0 +1,139 @@
+"""Put together what several daemons know of one request.
+
+The daemon that placed an attempt knows why it went there and how it ended; the
+daemon beside the backend server knows how long it waited and ran.
+"""
+
+import collections.abc
+import dataclasses
+
+from savoryhollow.cli import asking
+from savoryhollow.observe import placements, requests, runs
+
+__all__ = ["Attempt", "Trace", "join", "lines"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One attempt, as seen from both ends.
+
+    :param placed_by: the daemon that placed it; empty where it was not asked.
+    :param policy: how that daemon chooses.
+    :param ran_on: the daemon whose backend server ran it, if one said so.
+    """
+
+    attempt_id: str
+    placed_by: str = ""
+    policy: str = ""
+    placement: placements.PlacementRecord | None = None
+    ran_on: str = ""
+    run: runs.RunRecord | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trace:
+    """Everything that is known of one request.
+
+    :param refusals: the ends of the request that were no whole answer.
+    """
+
+    request_id: str
+    attempts: list[Attempt]
+    refusals: list[requests.RefusalRecord]
+
+
+def join(
+    request_id: str, replies: collections.abc.Iterable[asking.TraceReply]
+) -> Trace:
+    """Return the trace of a request.
+
+    :param request_id: the id that the caller's answer carried.
+    :param replies: what each daemon knows.
+    """
+    by_id: dict[str, Attempt] = {}
+    refusals: list[requests.RefusalRecord] = []
+    for reply in replies:
+        refusals.extend(reply.refusals)
+        for placement in reply.placements:
+            known = by_id.get(placement.attempt_id, Attempt(placement.attempt_id))
+            by_id[placement.attempt_id] = dataclasses.replace(
+                known,
+                placed_by=reply.endpoint_id,
+                policy=reply.placement,
+                placement=placement,
+            )
+        for run in reply.runs:
+            known = by_id.get(run.attempt_id, Attempt(run.attempt_id))
+            by_id[run.attempt_id] = dataclasses.replace(
+                known, ran_on=reply.endpoint_id, run=run
+            )
+    attempts = [by_id[attempt_id] for attempt_id in sorted(by_id)]
+    return Trace(request_id, attempts, refusals)
+
+
+# ---------------------------------------------------------------------------
+#   Text
+# ---------------------------------------------------------------------------
+
+
+def lines(trace: Trace) -> list[str]:
+    """Return a trace as text for a terminal of 60 columns."""
+    text = [f"request {trace.request_id}"]
+    for attempt in trace.attempts:
+        text.extend(_attempt_lines(attempt))
+    for refusal in trace.refusals:
+        text.append(f"answered  {refusal.outcome}, {refusal.detail}")
+        text.append(f"          after {refusal.duration_ms:.1f} ms")
+    return text
+
+
+def _attempt_lines(attempt: Attempt) -> list[str]:
+    number = attempt.attempt_id.rpartition(".")[2]
+    placement = attempt.placement
+    if placement is None:
+        text = [f"attempt {number} on {attempt.ran_on}"]
+        text.append("  placed    by a daemon that was not asked")
+    else:
+        text = [f"attempt {number} to {placement.endpoint_id} ({placement.region})"]
+        text.append(f"  placed    by {attempt.placed_by}, policy {attempt.policy}")
+        text.extend(_choice_lines(placement.choice))
+    text.extend(_run_lines(attempt.run))
+    if placement is not None:
+        text.extend(_end_lines(placement))
+    return text
+
+
+def _choice_lines(choice: placements.Choice | None) -> list[str]:
+    if choice is None:
+        return []
+    why = f"  why       expected {choice.expected_ms:.1f} ms"
+    text = [f"{why}, {choice.in_flight} in flight from there"]
+    if choice.failing:
+        text.append("            it had failed shortly before")
+    if choice.busy is None:
+        text.append("            no fresh report of its load")
+    else:
+        text.append(
+            f"            {choice.busy} busy and {choice.queued} queued"
+            f" {choice.evidence_age_ms:.0f} ms before"
+        )
+    return text
+
+
+def _run_lines(run: runs.RunRecord | None) -> list[str]:
+    if run is None:
+        return ["  waited    no run is known to the daemons asked"]
+    return [
+        f"  waited    {run.waited_ms:.1f} ms for a slot",
+        f"  ran       {run.ran_ms:.1f} ms, {run.outcome}",
+    ]
+
+
+def _end_lines(placement: placements.PlacementRecord) -> list[str]:
+    link = "over the link" if placement.crossed_region else "not over the link"
+    cost = f"{placement.request_bytes} B out, {placement.answer_bytes} B back"
+    return [
+        f"  cost      {cost}, {link}",
+        f"  ended     {placement.outcome}, {placement.detail}",
+        f"            after {placement.duration_ms:.1f} ms",
+    ]
--- a/src/savoryhollow/errors.py
+++ b/src/savoryhollow/errors.py
@@ -13,6 +13,7 @@
     "ChannelSilentError",
     "ConfigurationError",
     "MalformedMessageError",
+    "OperatorPortError",
     "Problem",
     "SavoryhollowError",
     "SettingsError",
@@ -113,3 +114,7 @@
 
 class StoreError(SavoryhollowError):
     """The platform's configuration service gave no usable answer."""
+
+
+class OperatorPortError(SavoryhollowError):
+    """A daemon gave no whole answer on its operator port."""
--- a/src/savoryhollow/settings/loading.py
+++ b/src/savoryhollow/settings/loading.py
@@ -17,7 +17,7 @@
     """
     try:
         text = path.read_text()
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         problem = errors.Problem(str(path), "$", "-", f"make it readable: {error}")
         raise errors.SettingsError([problem]) from error
     try:
--- a/src/savoryhollow/settings/models.py
+++ b/src/savoryhollow/settings/models.py
@@ -4,16 +4,31 @@
 
 import msgspec
 
-__all__ = ["Address", "DaemonSettings"]
+__all__ = ["Address", "DaemonSettings", "Target"]
 
-Port = Annotated[int, msgspec.Meta(ge=0, le=65535, description="port; 0 picks one")]
+# Operator port where the settings name none.
+DEFAULT_OPERATOR_PORT = 7082
+
+IpNumber = Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9A-Fa-f.:]+\Z", description="IP number")
+]
+PlaceName = Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
 
 
 class Address(msgspec.Struct, frozen=True):
-    """An address by IP number."""
+    """An address to listen on, by IP number."""
+
+    host: IpNumber
+    port: Annotated[
+        int, msgspec.Meta(ge=0, le=65535, description="port; 0 picks a free one")
+    ]
+
+
+class Target(msgspec.Struct, frozen=True):
+    """An address to connect to, by IP number."""
 
-    host: str
-    port: Port
+    host: IpNumber
+    port: Annotated[int, msgspec.Meta(ge=1, le=65535, description="port")]
 
 
 class DaemonSettings(msgspec.Struct, frozen=True):
@@ -25,29 +40,40 @@
     service: Annotated[
         str, msgspec.Meta(min_length=1, description="the service it belongs to")
     ]
-    region: Annotated[str, msgspec.Meta(description="the region of the instance")]
-    zone: Annotated[str, msgspec.Meta(description="its availability zone")]
+    region: Annotated[PlaceName, msgspec.Meta(description="the region of the instance")]
+    zone: Annotated[PlaceName, msgspec.Meta(description="its availability zone")]
     front: Annotated[
         Address, msgspec.Meta(description="where callers are accepted over HTTP")
     ]
     inner: Annotated[
         Address, msgspec.Meta(description="where other daemons are accepted")
     ]
-    operator: Annotated[
-        Address, msgspec.Meta(description="where metrics and dumps are served")
-    ]
     backend: Annotated[
-        Address, msgspec.Meta(description="the backend server of this instance")
+        Target, msgspec.Meta(description="the backend server of this instance")
     ]
     store: Annotated[
-        Address, msgspec.Meta(description="the platform's configuration service")
+        Target, msgspec.Meta(description="the platform's configuration service")
     ]
+    operator: Annotated[
+        Address, msgspec.Meta(description="where metrics and dumps are served")
+    ] = Address("127.0.0.1", DEFAULT_OPERATOR_PORT)
     slots: Annotated[
         int,
-        msgspec.Meta(ge=1, le=4096, description="requests the backend server runs"),
+        msgspec.Meta(
+            ge=1,
+            le=4096,
+            description="requests the backend server runs",
+            extra={"unit": "requests"},
+        ),
     ] = 9
     front_threads: Annotated[
-        int, msgspec.Meta(ge=2, le=1024, description="calls served at one time")
+        int,
+        msgspec.Meta(
+            ge=2,
+            le=1024,
+            description="calls served at one time",
+            extra={"unit": "threads"},
+        ),
     ] = 96
     max_body_bytes: Annotated[
         int, msgspec.Meta(ge=0, le=16 << 20, description="limit of a body, in bytes")
@@ -58,25 +84,30 @@
     placement: Annotated[
         str,
         msgspec.Meta(
-            pattern="^(evidence|random|round-robin|least-in-flight|two-choices)$",
+            pattern=r"^(evidence|random|round-robin|least-in-flight|two-choices)\Z",
             description="how an endpoint is chosen",
         ),
     ] = "evidence"
     log_level: Annotated[
         str,
         msgspec.Meta(
-            pattern="^(debug|info|warning|error)$",
+            pattern=r"^(debug|info|warning|error)\Z",
             description="the lowest level of event that is logged",
         ),
     ] = "info"
     placement_log_level: Annotated[
         str,
         msgspec.Meta(
-            pattern="^(debug|info|warning|error)$",
+            pattern=r"^(debug|info|warning|error)\Z",
             description="the level of the event of each placement",
         ),
     ] = "debug"
     placement_records: Annotated[
         int,
-        msgspec.Meta(ge=0, le=65536, description="placements and runs kept for traces"),
+        msgspec.Meta(
+            ge=0,
+            le=65536,
+            description="placements and runs kept for traces",
+            extra={"unit": "records"},
+        ),
     ] = 4096
--- a/src/savoryhollow/settings/validation.py
+++ b/src/savoryhollow/settings/validation.py
@@ -126,10 +126,11 @@
     :param path: the dotted path of ``value``.
     :returns: the instance of the model, or None where a fault was found.
     """
-    if _is_struct(model):
-        return _convert_struct(value, model, origin, problems, path)
-    if typing.get_origin(model) is dict:
-        return _convert_mapping(value, model, origin, problems, path)
+    bare = typing.get_args(model)[0] if _is_annotated(model) else model
+    if _is_struct(bare):
+        return _convert_struct(value, bare, origin, problems, path)
+    if typing.get_origin(bare) is dict:
+        return _convert_mapping(value, bare, origin, problems, path)
     return _convert_leaf(value, model, origin, problems, path)
 
 
@@ -176,6 +177,10 @@
     return converted
 
 
+def _is_annotated(model: typing.Any) -> bool:
+    return typing.get_origin(model) is typing.Annotated
+
+
 def _is_struct(model: typing.Any) -> bool:
     return isinstance(model, type) and issubclass(model, msgspec.Struct)
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,258 @@
+import collections
+import json
+
+import pytest
+import urllib3
+from typer import testing
+
+from emulator import deployment, plans
+from savoryhollow.cli import main, ranking
+from savoryhollow.observe import requests
+
+SERVICES = {
+    "services": {
+        "dispatch": {
+            "share": 0.5,
+            "ranks": {
+                "lookup": {"order": 0, "idempotent": True},
+                "booking": {"order": 1},
+            },
+        }
+    }
+}
+PLAN = plans.DeploymentPlan(
+    name="small",
+    regions=("east", "west"),
+    zones_per_region=1,
+    services=(plans.ServicePlan("dispatch", 2, 5.0),),
+    store_region="east",
+    files={"10.json": json.dumps(SERVICES)},
+)
+SECRET = "a-secret-of-a-caller"
+
+
+def run(*arguments):
+    return testing.CliRunner().invoke(main.app, [str(a) for a in arguments])
+
+
+def narrow(text):
+    return all(len(line) <= 60 for line in text.splitlines())
+
+
+# ---------------------------------------------------------------------------
+#   Folders
+# ---------------------------------------------------------------------------
+
+
+@pytest.fixture
+def folders(tmp_path):
+    old, new = tmp_path / "old", tmp_path / "new"
+    for folder in (old, new):
+        folder.mkdir()
+        (folder / "10.json").write_text(json.dumps(SERVICES))
+    refined = {"services": {"dispatch": {"share": 0.25}}}
+    (new / "20-share.json").write_text(json.dumps(refined))
+    return old, new
+
+
+def test_check_shows_each_value_with_its_origin(folders):
+    shown = run("check", folders[1])
+    assert shown.exit_code == 0
+    assert narrow(shown.stdout)
+    line = next(x for x in shown.stdout.splitlines() if "dispatch.share" in x)
+    assert line.split() == ["services.dispatch.share", "=", "0.25", "20-share.json"]
+    values = json.loads(run("check", folders[1], "--json").stdout)
+    assert {"path", "value", "origin"} == set(values[0])
+
+
+def test_diff_shows_what_changes(folders):
+    shown = run("diff", *folders)
+    assert shown.exit_code == 0
+    assert [line.split() for line in shown.stdout.splitlines()] == [
+        ["services.dispatch.share"],
+        ["-", "0.5", "10.json"],
+        ["+", "0.25", "20-share.json"],
+    ]
+    changes = json.loads(run("diff", *folders, "--json").stdout)
+    assert changes[0]["new"]["origin"] == "20-share.json"
+    assert run("diff", folders[0], folders[0]).stdout == "no change\n"
+
+
+def test_explain_names_every_file_that_had_a_say(folders):
+    shown = run("explain", folders[1], "services.dispatch.share")
+    assert shown.exit_code == 0
+    assert narrow(shown.stdout)
+    assert "10.json sets" in shown.stdout
+    assert "20-share.json sets" in shown.stdout
+
+
+def test_a_rejected_folder_is_exit_status_1_with_the_remedies(folders):
+    (folders[0] / "30.json").write_text('{"services": {"dispatch": {"share": 7}}}')
+    for arguments in (["check", folders[0]], ["diff", *folders]):
+        shown = run(*arguments)
+        assert shown.exit_code == main.REJECTED
+        assert "30.json: services.dispatch.share" in shown.stderr
+        assert shown.stdout == ""
+
+
+def test_wrong_usage_is_exit_status_2():
+    assert run("check").exit_code == 2
+    assert run("nonsense").exit_code == 2
+
+
+def test_rejected_settings_are_exit_status_1(tmp_path):
+    path = tmp_path / "daemon.json"
+    path.write_text("{}")
+    shown = run("daemon", path)
+    assert shown.exit_code == main.REJECTED
+    assert "endpoint_id" in shown.stderr
+
+
+@pytest.mark.parametrize("command", [["dump"], ["top", "--once"], ["trace", "id"]])
+def test_a_daemon_that_is_not_there_is_exit_status_3(command):
+    shown = run(*command, "127.0.0.1:1")
+    assert shown.exit_code in (main.UNREACHABLE,)
+    assert "check HOST:PORT" in shown.stderr
+
+
+def test_rows_add_up_and_a_replaced_daemon_does_not_make_them_negative():
+    def row(asked, served):
+        buckets = (served,) + (0,) * len(requests.BUCKETS_S)
+        return ranking.Row("dispatch", "lookup", asked, asked - served, buckets)
+
+    assert ranking.since([row(5, 4)], [row(9, 7)]) == [row(4, 3)]
+    assert ranking.since([row(9, 7)], [row(5, 4)]) == [row(5, 4)]
+    assert row(2, 1).percentile_s(50) == requests.BUCKETS_S[0]
+
+
+# ---------------------------------------------------------------------------
+#   Running daemons
+# ---------------------------------------------------------------------------
+
+
+@pytest.fixture(scope="module")
+def running():
+    settings = {"log_level": "debug", "placement_log_level": "info"}
+    with deployment.Deployment(PLAN, placement="round-robin", **settings) as started:
+        yield started
+
+
+@pytest.fixture(scope="module")
+def operators(running):
+    return [running.operator(i) for i in running.instances_by_id.values()]
+
+
+def ask(running, rank="booking", service="dispatch"):
+    url = running.front_url(running.instances_by_id["dispatch-0"]) + f"/{SECRET}"
+    headers = {
+        "Savoryhollow-Service": service,
+        "Savoryhollow-Rank": rank,
+        "Authorization": SECRET,
+    }
+    answer = urllib3.request(
+        "POST", url, headers=headers, body=SECRET.encode(), retries=False
+    )
+    return answer.headers["Savoryhollow-Request-Id"], answer
+
+
+def test_a_trace_shows_both_ends_of_an_attempt(running, operators):
+    for _ in range(4):
+        request_id, answer = ask(running)
+        shown = run("trace", request_id, *operators)
+        assert shown.exit_code == 0, shown.stderr
+        assert narrow(shown.stdout)
+        endpoint = answer.headers["Savoryhollow-Endpoint"]
+        assert f"attempt 0 to {endpoint}" in shown.stdout
+        for word in ("why", "waited", "ran", "cost", "ended     served, status 200"):
+            assert word in shown.stdout
+        document = json.loads(run("trace", request_id, *operators, "--json").stdout)
+        (attempt,) = document["attempts"]
+        assert attempt["placed_by"] == "dispatch-0"
+        assert attempt["ran_on"] == endpoint
+        crossed = running.instances_by_id[endpoint].region == "west"
+        assert attempt["placement"]["crossed_region"] == crossed
+
+
+def test_a_trace_shows_why_a_request_was_refused(running, operators):
+    request_id, answer = ask(running, service="nothing")
+    assert answer.status == 503
+    shown = run("trace", request_id, *operators)
+    assert "not-run, unknown-service" in shown.stdout
+
+
+def test_an_unknown_request_is_exit_status_1(operators):
+    shown = run("trace", "0123", *operators)
+    assert shown.exit_code == main.REJECTED
+    assert "not known there" in shown.stderr
+
+
+def test_what_was_gathered_is_shown_though_a_daemon_is_gone(running, operators):
+    request_id, _ = ask(running)
+    shown = run("trace", request_id, *operators, "127.0.0.1:1")
+    assert shown.exit_code == main.UNREACHABLE
+    assert "served" in shown.stdout
+
+
+def test_accounts_add_up_with_what_the_backend_servers_counted(running, operators):
+    for rank in ("lookup", "booking", "lookup"):
+        ask(running, rank)
+    placed = collections.Counter()
+    for instance in running.instances_by_id.values():
+        for total in running.dump(instance)["accounts"]:
+            if total["outcome"] == "served":
+                placed[total["endpoint_id"]] += total["attempts"]
+                known = running.instances_by_id[total["endpoint_id"]]
+                assert total["region"] == known.region
+    for instance in running.instances_by_id.values():
+        counted = sum(running.records(instance).values())
+        runs = running.dump(instance)["runs"]
+        assert sum(total["runs"] for total in runs) == counted
+        assert placed[instance.endpoint_id] == counted
+
+
+def test_top_sums_the_daemons(running, operators):
+    ask(running, "lookup")
+    shown = run("top", "--once", *operators)
+    assert shown.exit_code == 0
+    assert narrow(shown.stdout)
+    rows = {
+        (row["service"], row["rank"]): row
+        for row in json.loads(run("top", "--json", *operators).stdout)
+    }
+    total = running.dump(running.instances_by_id["dispatch-0"])["requests"]
+    counted = {(t["service"], t["rank"]): sum(t["outcomes"].values()) for t in total}
+    for pair, asked in counted.items():
+        assert rows[pair]["asked"] == asked
+
+
+def test_metrics_are_served_on_the_operator_port(running, operators):
+    ask(running, "lookup")
+    page = urllib3.request("GET", f"http://{operators[0]}/metrics")
+    assert page.headers["Content-Type"].startswith("text/plain; version=0.0.4")
+    for name in (
+        "savoryhollow_request_duration_seconds_bucket",
+        "savoryhollow_queue_length",
+        "savoryhollow_configuration_revision 1",
+        "savoryhollow_peer_bytes_total",
+        "savoryhollow_resident_memory_bytes",
+    ):
+        assert name in page.data.decode()
+    refused = urllib3.request("POST", f"http://{operators[0]}/metrics", body=b"")
+    assert refused.status == 405
+
+
+def test_no_secret_of_a_caller_is_in_any_log_dump_or_metric(running, operators):
+    request_id, _ = ask(running)
+    ask(running, service="nothing")
+    for instance in running.instances_by_id.values():
+        log = running.log(f"daemon-{instance.endpoint_id}")
+        events = [json.loads(line) for line in log.splitlines()]
+        assert SECRET not in log
+        assert all(event["instance"] == instance.endpoint_id for event in events)
+        assert SECRET not in json.dumps(running.dump(instance))
+    for operator in operators:
+        for path in ("/metrics", f"/trace?id={request_id}", "/placements"):
+            answer = urllib3.request("GET", f"http://{operator}{path}")
+            assert SECRET.encode() not in answer.data
+    placed = running.log("daemon-dispatch-0")
+    assert '"name": "request_placed"' in placed and request_id in placed
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,117 @@
+import json
+import pathlib
+
+import hypothesis
+import msgspec
+import pytest
+from hypothesis import strategies
+
+from savoryhollow import errors
+from savoryhollow.cli import reference
+from savoryhollow.configuration import models as configuration_models
+from savoryhollow.settings import loading, models
+
+ROOT = pathlib.Path(__file__).parent.parent
+ADDRESS = {"host": "127.0.0.1", "port": 7000}
+GOOD = {
+    "endpoint_id": "dispatch-0",
+    "service": "dispatch",
+    "region": "east",
+    "zone": "east-a",
+    "front": ADDRESS,
+    "inner": ADDRESS,
+    "backend": ADDRESS,
+    "store": ADDRESS,
+}
+
+
+def load(tmp_path, document):
+    path = tmp_path / "daemon.json"
+    path.write_text(json.dumps(document))
+    return loading.load_daemon_settings(path)
+
+
+def test_the_reference_is_what_the_models_say():
+    page = (ROOT / "docs" / "SETTINGS.md").read_text()
+    assert page == reference.page(), "run: savoryhollow settings-reference"
+
+
+@pytest.mark.parametrize(
+    "model", [models.DaemonSettings, configuration_models.Configuration]
+)
+def test_every_option_has_a_unit_and_a_meaning(model):
+    for option in reference.options(model):
+        assert option.unit and option.meaning, option.path
+
+
+def test_the_operator_port_is_on_loopback_unless_told_otherwise(tmp_path):
+    assert load(tmp_path, GOOD).operator.host == "127.0.0.1"
+
+
+def test_every_fault_of_a_file_is_told_at_once(tmp_path):
+    bad = GOOD | {
+        "slots": 0,
+        "front": {"host": "a.name", "port": 70_000},
+        "store": {"host": "127.0.0.1", "port": 0},
+        "log_level": "loud",
+        "nonsense": 1,
+    }
+    del bad["zone"]
+    with pytest.raises(errors.SettingsError) as caught:
+        load(tmp_path, bad)
+    assert {problem.path for problem in caught.value.problems} == {
+        "slots",
+        "front.host",
+        "front.port",
+        "store.port",
+        "log_level",
+        "nonsense",
+        "zone",
+    }
+    assert all(problem.remedy for problem in caught.value.problems)
+
+
+def test_a_file_that_can_not_be_read_is_a_typed_error(tmp_path):
+    with pytest.raises(errors.SettingsError, match="readable"):
+        loading.load_daemon_settings(tmp_path / "missing.json")
+    binary = tmp_path / "binary.json"
+    binary.write_bytes(b"\xff\xfe")
+    with pytest.raises(errors.SettingsError):
+        loading.load_daemon_settings(binary)
+
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+@hypothesis.given(strategies.dictionaries(strategies.sampled_from(sorted(GOOD)), JSON))
+def test_any_document_gives_settings_or_a_typed_error(changes):
+    path = _Text(json.dumps(GOOD | changes))
+    try:
+        settings = loading.load_daemon_settings(path)
+    except errors.SettingsError as error:
+        assert error.problems
+    else:
+        assert msgspec.to_builtins(settings)["endpoint_id"]
+
+
+class _Text:
+    """Stands in for a path whose text is known."""
+
+    name = "daemon.json"
+
+    def __init__(self, text):
+        self._text = text
+
+    def read_text(self):
+        return self._text
