Publish a library: a router without an HTTP hop, a gate round a function

Cause: a Python caller could reach the system over HTTP alone, and a backend server written in Python had to open a port for its own gate.

Change: library.EmbeddedRouter follows the platform and places calls from the caller's own process; library.EmbeddedDaemon is a whole daemon whose gate calls a function.

Found on the way: mypy showed that the live table called a function that the command library lacks; a test now refreshes it twice.

Ruled out: a second assembly of a gate in the library, as it would have to follow every change of the daemon's.

--- a/src/savoryhollow/cli/main.py
+++ b/src/savoryhollow/cli/main.py
@@ -20,6 +20,8 @@
 # Exit statuses; 2 is a wrong use of the command.
 REJECTED = 1
 UNREACHABLE = 3
+# Clears a terminal and goes to its top left corner.
+CLEAR = "\x1b[2J\x1b[H"
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -159,22 +161,31 @@
         _show(as_json, table, ranking.lines(table))
         _report(gathered)
         return
+    try:
+        _follow(operators, table, interval_s)
+    except KeyboardInterrupt:
+        raise typer.Exit(0) from None
+
+
+# ---------------------------------------------------------------------------
+#   Output
+# ---------------------------------------------------------------------------
+
+
+def _follow(
+    operators: list[str], table: list[ranking.Row], interval_s: float
+) -> typing.NoReturn:
     while True:
         time.sleep(interval_s)
         gathered = asking.gather(operators, "/dump", asking.DumpReply)
         later = ranking.rows(gathered.replies)
-        typer.clear()
-        typer.echo("\n".join(ranking.lines(ranking.since(table, later))))
+        text = "\n".join(ranking.lines(ranking.since(table, later)))
+        typer.echo(CLEAR + text)
         for failure in gathered.failures:
             typer.echo(str(failure), err=True)
         table = later
 
 
-# ---------------------------------------------------------------------------
-#   Output
-# ---------------------------------------------------------------------------
-
-
 def _inspect(question: typing.Callable[[], typing.Any]) -> typing.Any:
     try:
         return question()
--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -41,9 +41,15 @@
     """The router and the gate of one instance, with their ports.
 
     :param settings: the settings of the daemon.
+    :param run_backend: runs admitted calls in place of the backend server's
+        port.
     """
 
-    def __init__(self, settings: settings_models.DaemonSettings):
+    def __init__(
+        self,
+        settings: settings_models.DaemonSettings,
+        run_backend: gate_module.RunBackend | None = None,
+    ):
         self.settings = settings
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.members = table.MemberTable()
@@ -54,7 +60,7 @@
         hello = messages.HelloMessage(
             messages.PROTOCOL_VERSION, settings.endpoint_id, self.incarnation
         )
-        self._build_gate()
+        self._build_gate(run_backend)
         self._build_router(hello)
         self._build_store()
         self._build_ports(hello)
@@ -97,16 +103,15 @@
     #   Parts
     # -----------------------------------------------------------------------
 
-    def _build_gate(self) -> None:
+    def _build_gate(self, run_backend: gate_module.RunBackend | None) -> None:
         settings = self.settings
         self._backend = backend_client.BackendClient(
             settings.backend.host, settings.backend.port, settings.max_body_bytes
         )
         self._queue = queueing.AdmissionQueue(settings.slots, 0, {})
         self.outcomes = register.OutcomeRegister()
-        self.gate = gate_module.Gate(
-            self._queue, self.outcomes, self.runs.observe(self._backend.run)
-        )
+        run = self.runs.observe(run_backend or self._backend.run)
+        self.gate = gate_module.Gate(self._queue, self.outcomes, run)
 
     def _build_router(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
@@ -124,6 +129,7 @@
             policy,
             self._record,
         )
+        self.route = self.requests.observe(self.router.route)
 
     def _build_store(self) -> None:
         settings = self.settings
@@ -149,7 +155,7 @@
             settings.max_body_bytes,
             front_service.make_handler(
                 lambda: self.router.configuration,
-                self.requests.observe(self.router.route),
+                self.route,
                 self.router.redeem,
             ),
         )
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -13,6 +13,7 @@
 
 import absl.flags
 import absl.logging
+import absl.logging.converter
 
 __all__ = ["Event", "configure", "emit", "is_logged", "suppressed_by_event"]
 
@@ -150,7 +151,7 @@
     _context.placement_level = LEVELS_BY_NAME[placement_level]
     # Else absl writes a line of its own, not JSON, before the first event.
     absl.flags.FLAGS.mark_as_parsed()
-    absl.flags.FLAGS.logtostderr = True
+    absl.flags.FLAGS["logtostderr"].value = True
     absl.logging.use_absl_handler()
     absl.logging.get_absl_handler().setFormatter(JsonFormatter())
     absl.logging.set_verbosity(
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -6,7 +6,6 @@
 import typing
 
 from savoryhollow import calls, errors
-from savoryhollow.admission import gate as gate_module
 from savoryhollow.configuration import models
 from savoryhollow.membership import table
 from savoryhollow.observe import placements
@@ -14,12 +13,22 @@
 from savoryhollow.routing import evidence, peers, placement, reasons
 from savoryhollow.wire import exchange, messages
 
-__all__ = ["Router"]
+__all__ = ["LocalGate", "Router"]
 
 # Time kept back for asking what became of a request, in s.
 RESOLVE_LIMIT_S = 1.0
 
 
+class LocalGate(typing.Protocol):
+    """The gate of this process, as far as the router uses it."""
+
+    def serve(self, call: messages.CallMessage) -> exchange.Answer:
+        """Run a call, or say truthfully what happened."""
+
+    def resolve(self, message: messages.ResolveMessage) -> messages.ResolutionMessage:
+        """Say what became of a request."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Result:
     """What one attempt came to."""
@@ -47,7 +56,7 @@
         incarnation: str,
         members: table.MemberTable,
         connections: peers.PeerConnections,
-        local_gate: gate_module.Gate,
+        local_gate: LocalGate,
         policy: placement.Policy,
         record: typing.Callable[[placements.PlacementRecord], None],
     ):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,8 +2,8 @@
 import json
 
 import pytest
+import typer.testing
 import urllib3
-from typer import testing
 
 from emulator import deployment, plans
 from savoryhollow.cli import main, ranking
@@ -32,7 +32,7 @@
 
 
 def run(*arguments):
-    return testing.CliRunner().invoke(main.app, [str(a) for a in arguments])
+    return typer.testing.CliRunner().invoke(main.app, [str(a) for a in arguments])
 
 
 def narrow(text):
@@ -256,3 +256,18 @@
             assert SECRET.encode() not in answer.data
     placed = running.log("daemon-dispatch-0")
     assert '"name": "request_placed"' in placed and request_id in placed
+
+
+def test_top_refreshes_until_it_is_interrupted(operators, monkeypatch):
+    looks = iter([None, None])
+
+    def sleep(_):
+        try:
+            next(looks)
+        except StopIteration:
+            raise KeyboardInterrupt from None
+
+    monkeypatch.setattr(main.time, "sleep", sleep)
+    shown = run("top", *operators)
+    assert shown.exit_code == 0
+    assert shown.stdout.count(ranking.HEAD) == 2
--- /dev/null
+++ b/tests/test_library.py
@@ -0,0 +1,128 @@
+import importlib.util
+import json
+import pathlib
+import time
+
+import pytest
+
+from emulator import deployment, plans
+from savoryhollow import calls, errors, library
+from savoryhollow.backend import client
+from savoryhollow.settings import models
+
+ROOT = pathlib.Path(__file__).parent.parent
+RANKS = {"lookup": {"order": 0, "idempotent": True}, "booking": {"order": 1}}
+PLAN = plans.DeploymentPlan(
+    name="small",
+    regions=("east",),
+    zones_per_region=1,
+    services=(plans.ServicePlan("dispatch", 2, 5.0),),
+    store_region="east",
+    files={
+        "10.json": json.dumps(
+            {"services": {"dispatch": {"share": 1.0, "ranks": RANKS}}}
+        )
+    },
+)
+
+
+def soon():
+    return time.monotonic() + 10
+
+
+@pytest.fixture(scope="module")
+def running():
+    with deployment.Deployment(PLAN) as started:
+        yield started
+
+
+@pytest.fixture(scope="module")
+def store(running):
+    return models.Target(running._store_host, deployment.STORE_PORT)
+
+
+@pytest.fixture(scope="module")
+def router(store):
+    settings = library.RouterSettings("caller", "east", "east-a", store, "round-robin")
+    with library.EmbeddedRouter(settings) as started:
+        assert started.await_ready(soon())
+        yield started
+
+
+def test_the_public_names_are_there():
+    assert all(hasattr(library, name) for name in library.__all__)
+
+
+def test_an_embedded_router_reaches_every_endpoint_once_a_call(running, router):
+    outcomes = [
+        router.call(library.Request("dispatch", "booking", soon(), path="/work"))
+        for _ in range(6)
+    ]
+    assert {type(outcome) for outcome in outcomes} == {calls.Served}
+    assert {o.endpoint_id for o in outcomes} == {"dispatch-0", "dispatch-1"}
+    runs = [running.records(i) for i in running.instances_by_id.values()]
+    for outcome in outcomes:
+        attempts = [a for a in runs[0] | runs[1] if a.startswith(outcome.request_id)]
+        assert len(attempts) == 1
+    assert sum(router.placements.totals().values()) == 6
+
+
+def test_a_call_that_can_not_be_made_says_so(router):
+    past = library.Request("dispatch", "lookup", time.monotonic() - 1)
+    assert router.call(past).reason is calls.NotRunReason.DEADLINE
+    unknown = library.Request("nothing", "lookup", soon())
+    assert router.call(unknown).reason is calls.NotRunReason.UNKNOWN_SERVICE
+    bad = calls.Header("X-Note", "one\r\nX-Other: two")
+    for changes in ({"path": "no slash"}, {"headers": (bad,)}, {"method": "BREW"}):
+        with pytest.raises(errors.BadRequestError):
+            router.call(library.Request("dispatch", "lookup", soon(), **changes))
+
+
+def test_a_router_that_finds_no_platform_is_not_ready():
+    settings = library.RouterSettings(
+        "caller", "east", "east-a", models.Target("127.0.0.1", 1)
+    )
+    with library.EmbeddedRouter(settings) as started:
+        assert not started.await_ready(time.monotonic() + 0.1)
+
+
+def test_the_example_runs(store, capsys):
+    path = ROOT / "examples" / "embed_router.py"
+    spec = importlib.util.spec_from_file_location("embed_router", path)
+    example = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(example)
+    assert example.main(store.host, str(store.port), "dispatch", "lookup") == 0
+    assert capsys.readouterr().out.startswith("served by dispatch-")
+
+
+def test_a_python_backend_server_runs_its_own_gate(running, store):
+    ran = []
+
+    def run(call, deadline):
+        ran.append(call.request_id)
+        return client.BackendAnswer(200, (), b"from a function")
+
+    host = running.instances_by_id["dispatch-0"].host
+    settings = models.DaemonSettings(
+        endpoint_id="dispatch-0",
+        service="dispatch",
+        region="east",
+        zone="east-a",
+        front=models.Address(host, 0),
+        inner=models.Address(host, 0),
+        operator=models.Address(host, 0),
+        backend=models.Target(host, 1),
+        store=store,
+    )
+    with library.EmbeddedDaemon(settings, run) as embedded:
+        limit = soon()
+        request = library.Request("dispatch", "lookup", limit)
+        outcome = embedded.call(request)
+        while isinstance(outcome, calls.NotRun) and time.monotonic() < limit:
+            time.sleep(0.02)
+            outcome = embedded.call(request)
+        while not ran and time.monotonic() < limit:
+            outcome = embedded.call(request)
+    assert isinstance(outcome, calls.Served)
+    assert outcome.body == b"from a function"
+    assert ran[-1].startswith(outcome.request_id)
