Keep callers' text out of the web server's error log

Cause: cheroot writes errors of connections to standard error by itself, with a traceback. A malformed chunk or address, which any caller can send, put the caller's own text into the log, on lines that are no JSON, without any limit.

Change: such an error is logged by its type and place alone, through the standard logger; a filter limits and counts messages of libraries like events. A port that is taken ends the daemon with status 1 and a remedy, not a traceback.

Accounts add up too where a backend server fails every request.

Not changed: cheroot answers a malformed chunk and an address with an open bracket with 500 where 400 would be right.

--- a/src/savoryhollow/daemon/process.py
+++ b/src/savoryhollow/daemon/process.py
@@ -5,9 +5,10 @@
 import signal
 import threading
 
+from savoryhollow import errors
 from savoryhollow.daemon import assembly
 from savoryhollow.observe import events
-from savoryhollow.settings import loading
+from savoryhollow.settings import loading, models
 
 __all__ = ["run"]
 
@@ -26,10 +27,21 @@
     told = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: told.set())
-    daemon = assembly.Daemon(settings)
+    daemon = _open(settings, path)
     daemon.start()
     gc.collect()
     # What is alive now lives as long as the process; keep the collector off it.
     gc.freeze()
     told.wait()
     return 0 if daemon.stop() else 1
+
+
+def _open(settings: models.DaemonSettings, path: pathlib.Path) -> assembly.Daemon:
+    try:
+        return assembly.Daemon(settings)
+    except OSError as error:
+        remedy = "give each port an address of this instance that is free"
+        problem = errors.Problem(
+            path.name, "front, inner, operator", str(error), remedy
+        )
+        raise errors.SettingsError([problem]) from error
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -120,14 +120,30 @@
 _context = _Context()
 
 
+class LibraryFilter(logging.Filter):
+    """Limits the messages of libraries as events are limited."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether a record may be written."""
+        if hasattr(record, "event_fields"):
+            return True
+        with _context.lock:
+            suppressed = _context.limiter.admit(Event.LIBRARY_MESSAGE, time.monotonic())
+        if suppressed is None:
+            return False
+        fields = _message_fields(record)
+        if suppressed:
+            fields["suppressed"] = suppressed
+        record.__dict__["event_fields"] = fields
+        return True
+
+
 class JsonFormatter(logging.Formatter):
     """Makes one line of JSON of every record, events and others alike."""
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the line of a record."""
-        fields = getattr(record, "event_fields", None)
-        if fields is None:
-            fields = _message_fields(record)
+        fields = dict(getattr(record, "event_fields", None) or _message_fields(record))
         line = {
             "event": fields.pop("event"),
             "name": fields.pop("name"),
@@ -153,7 +169,11 @@
     absl.flags.FLAGS.mark_as_parsed()
     absl.flags.FLAGS["logtostderr"].value = True
     absl.logging.use_absl_handler()
-    absl.logging.get_absl_handler().setFormatter(JsonFormatter())
+    handler = absl.logging.get_absl_handler()
+    handler.setFormatter(JsonFormatter())
+    for old in handler.filters[:]:
+        handler.removeFilter(old)
+    handler.addFilter(LibraryFilter())
     absl.logging.set_verbosity(
         absl.logging.converter.standard_to_absl(LEVELS_BY_NAME[level])
     )
--- a/src/savoryhollow/webserver.py
+++ b/src/savoryhollow/webserver.py
@@ -7,8 +7,10 @@
 import dataclasses
 import http.client
 import io
+import logging
 import select
 import socket
+import sys
 import threading
 
 import cheroot.server
@@ -76,6 +78,7 @@
         self._server.max_request_body_size = max_body_bytes
         self._server.ConnectionClass = _Connection
         self._server.server_name = "savoryhollow"
+        self._server.error_log = _log_error
         # Threads that may wait with a connection instead of for any.
         self._server.lingering = threading.Semaphore(threads // 2)
         self._server.prepare()
@@ -102,6 +105,21 @@
 # ---------------------------------------------------------------------------
 
 
+def _log_error(message: str = "", level: int = logging.ERROR, traceback: bool = False):
+    """Log an error of a connection by its place; its text may quote the caller."""
+    error = sys.exc_info()[1]
+    if error is None:
+        logging.getLogger(__name__).log(level, "%s", message)
+        return
+    trace = error.__traceback__
+    while trace.tb_next is not None:
+        trace = trace.tb_next
+    function = trace.tb_frame.f_code.co_name
+    text = "%s in %s, line %d, on a connection"
+    name = type(error).__name__
+    logging.getLogger(__name__).log(level, text, name, function, trace.tb_lineno)
+
+
 class _Headers(dict):
     """Headers of one request; a header that stands twice is refused."""
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,5 +1,8 @@
 import collections
 import json
+import socket
+import subprocess
+import sys
 
 import pytest
 import typer.testing
@@ -108,6 +111,22 @@
     assert "endpoint_id" in shown.stderr
 
 
+def test_a_port_that_is_taken_is_exit_status_1(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = {"host": "127.0.0.1", "port": taken.getsockname()[1]}
+        other = {"host": "127.0.0.1", "port": 0}
+        named = {"endpoint_id": "e", "service": "s", "region": "r", "zone": "z"}
+        ports = {"front": other, "inner": address, "operator": other}
+        ports |= {"backend": address, "store": address}
+        path = tmp_path / "daemon.json"
+        path.write_text(json.dumps(named | ports))
+        command = [sys.executable, "-m", "savoryhollow.daemon", str(path)]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=30)
+    assert done.returncode == main.REJECTED
+    assert "that is free" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
 @pytest.mark.parametrize("command", [["dump"], ["top", "--once"], ["trace", "id"]])
 def test_a_daemon_that_is_not_there_is_exit_status_3(command):
     shown = run(*command, "127.0.0.1:1")
@@ -210,6 +229,15 @@
         assert placed[instance.endpoint_id] == counted
 
 
+def test_accounts_add_up_where_backend_servers_fail(running, operators):
+    failing = running.instances_by_id["dispatch-1"]
+    running.control_backend(failing, fail_share=1.0)
+    for _ in range(4):
+        ask(running, "lookup")
+    running.control_backend(failing, fail_share=0.0)
+    test_accounts_add_up_with_what_the_backend_servers_counted(running, operators)
+
+
 def test_top_sums_the_daemons(running, operators):
     ask(running, "lookup")
     shown = run("top", "--once", *operators)
@@ -241,6 +269,26 @@
     assert refused.status == 405
 
 
+@pytest.mark.parametrize("port", [deployment.FRONT_PORT, deployment.OPERATOR_PORT])
+@pytest.mark.parametrize(
+    "text",
+    [
+        f"GET //[{SECRET} HTTP/1.1\r\nHost: a\r\n\r\n",
+        f"GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\nX: {SECRET}\r\n\r\n",
+        f"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n{SECRET}\r\n",
+        f"{SECRET}\r\n\r\n",
+    ],
+)
+def test_a_malformed_request_is_logged_without_its_text(running, port, text):
+    instance = running.instances_by_id["dispatch-0"]
+    with socket.create_connection((instance.host, port), timeout=10) as sock:
+        sock.sendall(text.encode())
+        assert sock.recv(100).startswith(b"HTTP/1.1 ")
+    log = running.log("daemon-dispatch-0")
+    assert SECRET not in log
+    assert all(json.loads(line)["event"] for line in log.splitlines())
+
+
 def test_no_secret_of_a_caller_is_in_any_log_dump_or_metric(running, operators):
     request_id, _ = ask(running)
     ask(running, service="nothing")
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -27,7 +27,10 @@
     monkeypatch.setattr(threading, "excepthook", threading.excepthook)
     events.configure("dispatch-0", "info", "info")
     yield lambda: capsys.readouterr().err.splitlines()
-    absl.logging.get_absl_handler().setFormatter(None)
+    handler = absl.logging.get_absl_handler()
+    handler.setFormatter(None)
+    for added in handler.filters[:]:
+        handler.removeFilter(added)
 
 
 def test_the_catalogue_has_every_event_with_its_name_and_level():
@@ -84,6 +87,13 @@
     assert events.suppressed_by_event() == {"store_unreachable": 5}
 
 
+def test_messages_of_libraries_are_limited_too(lines):
+    for number in range(events.LINES_PER_WINDOW + 5):
+        logging.getLogger("a.library").warning("message %d", number)
+    assert len(lines()) == events.LINES_PER_WINDOW
+    assert events.suppressed_by_event() == {"library_message": 5}
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
