--- a/bench/observation.py
+++ b/bench/observation.py
@@ -1,17 +1,25 @@
-"""Measure what observing costs: ``python -m bench.observation``.
+"""Measure what observing costs: ``python -m bench.observation [--loaded]``.
 
 Every figure is the best of several rounds in one process, next to the way that
-was not taken.
+was not taken. ``--loaded`` starts a small deployment as well, and compares the
+response times of callers with and without operators that ask all the time.
 """
 
 import collections.abc
+import contextlib
+import dataclasses
+import os
+import statistics
 import subprocess
 import sys
+import threading
 import time
 import tracemalloc
 
 import aioprometheus
+import urllib3
 
+from emulator import deployment, load, plans
 from savoryhollow import calls
 from savoryhollow.backend import client
 from savoryhollow.daemon import dump
@@ -22,6 +30,15 @@
 
 ROUNDS = 5
 CALLS = 20_000
+# Events written; below what the limiter lets through.
+EVENTS = 1500
+# The loaded deployment: calls a second, time of a phase in s, workers, seed.
+RATE = 250.0
+PHASE_S = 5.0
+WORKERS = 400
+SEED = 3
+# Pause of an operator between two rounds of questions, in s.
+ASK_INTERVAL_S = 0.2
 # The size to design for.
 SERVICES = 340
 RANKS = 3
@@ -39,6 +56,7 @@
     print("data path, us a call (best of rounds)")
     for name, step in _steps().items():
         print(f"  {name:52}{_cost_us(step):8.2f}")
+    print(f"  {'event of a placement written':52}{_event_us():8.2f}")
     print("operator port, ms (best of rounds)")
     for name, step in _answers().items():
         cost_ms, size = _answer_cost(step)
@@ -48,6 +66,9 @@
     print("resident memory, KB, after imports in a new interpreter")
     for name, modules in _IMPORTS.items():
         print(f"  {name:52}{_resident_kb(modules):8,}")
+    if "--loaded" in sys.argv[1:]:
+        print("callers' response times, ms, while operators ask")
+        _compare_loaded()
 
 
 # ---------------------------------------------------------------------------
@@ -109,6 +130,16 @@
     return best / CALLS * 1e6
 
 
+def _event_us() -> float:
+    record = dump.plain(_record(0))
+    with open(os.devnull, "w") as nowhere, contextlib.redirect_stderr(nowhere):
+        events.configure("dispatch-0", "info", "info")
+        started = time.perf_counter()
+        for _ in range(EVENTS):
+            events.emit(events.Event.REQUEST_PLACED, placement=record)
+        return (time.perf_counter() - started) / EVENTS * 1e6
+
+
 def _ignore(_: object) -> None:
     return None
 
@@ -244,5 +275,52 @@
     return int(subprocess.check_output([sys.executable, "-c", program], timeout=30))
 
 
+# ---------------------------------------------------------------------------
+#   Under load
+# ---------------------------------------------------------------------------
+
+
+def _compare_loaded() -> None:
+    services = (plans.ServicePlan("dispatch", 3, 40.0),)
+    plan = dataclasses.replace(plans.COULEE, services=services)
+    with deployment.Deployment(plan) as running:
+        instances = list(running.instances_by_id.values())
+        urls = tuple(running.front_url(instance) for instance in instances)
+        operators = [running.operator(instance) for instance in instances]
+        stream = load.Stream("lookup", urls, "dispatch", "lookup", RATE)
+        for asked in (False, True, False, True):
+            _phase(stream, operators if asked else [])
+
+
+def _phase(stream: load.Stream, operators: list[str]) -> None:
+    stop = threading.Event()
+    times_ms: list[float] = []
+    threads = [
+        threading.Thread(target=_ask, args=(operator, stop, times_ms))
+        for operator in operators
+    ]
+    for thread in threads:
+        thread.start()
+    result = load.run([stream], PHASE_S, WORKERS, SEED)[stream.name]
+    stop.set()
+    for thread in threads:
+        thread.join()
+    p50, p99 = result.percentile_ms(50), result.percentile_ms(99)
+    line = f"  {'asked' if operators else 'not asked':12}p50 {p50:6.1f} p99 {p99:6.1f}"
+    if times_ms:
+        median, longest = statistics.median(times_ms), max(times_ms)
+        line += f"; {len(times_ms)} answers, p50 {median:.1f}, longest {longest:.1f}"
+    print(f"{line}; {dict(result.outcomes)}")
+
+
+def _ask(operator: str, stop: threading.Event, times_ms: list[float]) -> None:
+    http = urllib3.PoolManager()
+    while not stop.wait(ASK_INTERVAL_S):
+        for path in ("/dump", "/metrics"):
+            started = time.perf_counter()
+            http.request("GET", f"http://{operator}{path}", timeout=5.0)
+            times_ms.append((time.perf_counter() - started) * 1e3)
+
+
 if __name__ == "__main__":
     main()
