Count silence from the wait, not from the last message sent

Cause: the test for pings on a quiet connection failed once in a full run on a loaded machine. A greeting that came with the handshake's answer was heard before our own was sent, so our greeting, which has no answer, counted as awaited from then on, and the next call was pinged at once. The same held for every message that has no answer.

Change: silence counts from the beginning of a wait; threads that take turns in reading count as one wait, a pause of the ping interval begins a new one.

Seen: both new tests pass; 'no answer is owed' failed on the version before.

--- a/src/savoryhollow/wire/channel.py
+++ b/src/savoryhollow/wire/channel.py
@@ -57,8 +57,8 @@
         self._send_lock = threading.Lock()
         self._inbox: collections.deque[messages.Message] = collections.deque()
         self._heard_at = time.monotonic()
-        # When the first message since the peer was last heard was sent.
-        self._sent_at = self._heard_at
+        self._waiting_since = self._heard_at
+        self._waited_until = self._heard_at
         self._wait_limit_s = 0.0
         self._pinged_at: float | None = None
         self._closed = False
@@ -82,8 +82,6 @@
         """
         data = codec.encode(message)
         with self._send_lock:
-            if self._sent_at <= self._heard_at:
-                self._sent_at = time.monotonic()
             self._protocol_step(lambda: self._protocol.send_binary(data))
 
     def receive(self, deadline: float | None) -> messages.Message | None:
@@ -97,12 +95,14 @@
         :raises errors.ChannelClosedError: where the connection has ended.
         :raises errors.MalformedMessageError: on an invalid message.
         """
+        self._note_waiting(time.monotonic())
         while not self._inbox:
             wake_at = self._next_wake()
             if deadline is not None:
                 wake_at = min(wake_at, deadline)
             if not self._read_until(wake_at):
                 now = time.monotonic()
+                self._waited_until = now
                 if deadline is not None and now >= deadline:
                     return None
                 self._check_silence(now)
@@ -134,10 +134,16 @@
     #   Silence
     # -----------------------------------------------------------------------
 
+    def _note_waiting(self, now: float) -> None:
+        # Threads that take turns count as one wait; a pause begins a new one.
+        if now > self._waited_until + PING_AFTER_S:
+            self._waiting_since = now
+        self._waited_until = now
+
     def _next_wake(self) -> float:
         if self._pinged_at is not None:
             return self._pinged_at + PONG_LIMIT_S
-        return max(self._heard_at, self._sent_at) + PING_AFTER_S
+        return max(self._heard_at, self._waiting_since) + PING_AFTER_S
 
     def _check_silence(self, now: float) -> None:
         if self._pinged_at is None:
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -53,6 +53,26 @@
         opened.receive(time.monotonic() + 30)
 
 
+def test_a_silent_peer_is_found_out_by_many_short_waits(pair):
+    opened, _ = pair
+    with pytest.raises(errors.ChannelSilentError):
+        for _ in range(1000):
+            opened.receive(time.monotonic() + 0.03)
+
+
+def test_an_answer_is_not_owed_for_a_message_that_has_none(pair, monkeypatch):
+    monkeypatch.setattr(channel, "PING_AFTER_S", 1.0)
+    opened, accepted = pair
+    opened.send(messages.CancelMessage("no answer"))
+    time.sleep(1.1)
+    opened.send(messages.CancelMessage("id"))
+    before = opened.bytes_sent
+    accepted.receive_idle()
+    threading.Timer(0.02, accepted.send, [accepted.receive_idle()]).start()
+    assert opened.receive(time.monotonic() + 5) == messages.CancelMessage("id")
+    assert opened.bytes_sent == before
+
+
 def test_waiting_ends_at_the_deadline(pair):
     opened, _ = pair
     assert opened.receive(time.monotonic() + 0.01) is None
