Say "not run" of a lost call on proof alone, without a clock

Cause: a gate barred a request id for 60 s when it was asked after before its call arrived. A call kept longer in a paused router or in the link could arrive after the bar was forgotten and run, although the request was placed elsewhere. A full register refused everything, a running record could be forgotten after its deadline (and then barred, as if it had never run), and a duplicate of a running id was answered "not run".

Change: both ends count the calls of a connection. A gate says barred only where the connection is known and has not accepted the call, and makes it void in the same step. What is forgotten is told as forgotten. A router asks again, with pauses, until the deadline, so that the answer of a request that ran on while its connection went silent still arrives. A ticket carries the origin, so any daemon can ask with it. A message that says which call was the last accepted is added for a daemon that leaves. Answers without a length count as lost, the deadline holds for a whole body, a gate woken late looks at the deadline again, and an unexpected fault in a gate is told as unknown.

--- a/emulator/link.py
+++ b/emulator/link.py
@@ -14,6 +14,8 @@
 
 # Bytes read at one time.
 READ_BYTES = 1 << 16
+# Time between two looks at whether a held connection is released, in s.
+HOLD_S = 0.005
 
 
 class Forward(msgspec.Struct):
@@ -41,11 +43,14 @@
     :param cut: nothing crosses, and new connections are refused.
     :param cut_back: answers don't cross; requests do.
     :param silent_before: connections numbered below it carry nothing more.
+    :param held_before: what is sent on connections numbered below it is kept,
+        and arrives once they are released.
     """
 
     cut: bool = False
     cut_back: bool = False
     silent_before: int = 0
+    held_before: int = 0
 
 
 class Link:
@@ -57,6 +62,7 @@
         self.connections = 0
         self.bytes_out = 0
         self.bytes_back = 0
+        self.waiting = 0
         self._free_at = [0.0, 0.0]
 
     async def serve(self) -> None:
@@ -92,7 +98,7 @@
     async def _pump(self, number, way, reader, writer) -> None:
         loop = asyncio.get_running_loop()
         queue: asyncio.Queue = asyncio.Queue()
-        sender = asyncio.create_task(self._send_late(queue, writer))
+        sender = asyncio.create_task(self._send_late(number, queue, writer))
         try:
             while data := await reader.read(READ_BYTES):
                 if self._blocked(number, way):
@@ -104,19 +110,24 @@
         queue.put_nowait((loop.time(), b""))
         await sender
 
-    async def _send_late(self, queue, writer) -> None:
+    async def _send_late(self, number, queue, writer) -> None:
         loop = asyncio.get_running_loop()
         while True:
             at, data = await queue.get()
-            await asyncio.sleep(at - loop.time())
-            if not data:
-                writer.close()
-                return
+            self.waiting += 1
             try:
+                await asyncio.sleep(at - loop.time())
+                while number < self.state.held_before:
+                    await asyncio.sleep(HOLD_S)
+                if not data:
+                    writer.close()
+                    return
                 writer.write(data)
                 await writer.drain()
             except OSError:
                 return
+            finally:
+                self.waiting -= 1
 
     def _blocked(self, number: int, way: int) -> bool:
         state = self.state
@@ -142,6 +153,7 @@
             "connections": self.connections,
             "bytes_out": self.bytes_out,
             "bytes_back": self.bytes_back,
+            "waiting": self.waiting,
         }
         writer.write(json.dumps(counts).encode() + b"\n")
         await writer.drain()
--- a/src/savoryhollow/admission/gate.py
+++ b/src/savoryhollow/admission/gate.py
@@ -64,24 +64,48 @@
     # -----------------------------------------------------------------------
 
     def serve(self, call: messages.CallMessage) -> GateAnswer:
-        """Run a call on the backend server, or say truthfully what happened.
+        """Run a call of this process, or say truthfully what happened.
 
         :param call: the call, with the time that remains for it.
         :returns: the answer; it is remembered until its deadline.
         """
-        now = time.monotonic()
-        deadline = now + call.remaining_us / 1e6
-        if not self._outcomes.begin(call.request_id, deadline, now):
-            return self._refuse(call, calls.NotRunReason.BARRED)
-        with self._lock:
-            self._in_progress += 1
+        return self.begin(call, None)()
+
+    def begin(
+        self, call: messages.CallMessage, connection: register.Connection | None
+    ) -> collections.abc.Callable[[], GateAnswer]:
+        """Note that a call has arrived.
+
+        :param call: the call, with the time that remains for it.
+        :param connection: carried the call; None for a call of this process.
+        :returns: a function that runs the call, or says truthfully what
+            happened to it.
+        """
+        deadline = time.monotonic() + call.remaining_us / 1e6
+        beginning = self._outcomes.begin(call.request_id, connection, deadline)
+        if beginning is register.Beginning.ACCEPTED:
+            with self._lock:
+                self._in_progress += 1
+            return lambda: self._serve(call, deadline)
+        if beginning is register.Beginning.DUPLICATE:
+            text = "the id is in use here"
+            return lambda: messages.UnknownMessage(call.request_id, text, self.report())
+        if beginning is register.Beginning.FULL:
+            return lambda: self._refuse(call, calls.NotRunReason.OVERLOADED)
+        return lambda: self._refuse(call, calls.NotRunReason.BARRED)
+
+    def _serve(self, call, deadline) -> GateAnswer:
         try:
             answer = self._admit_and_run(call, deadline)
-        finally:
-            with self._lock:
-                self._in_progress -= 1
-                self._idle.notify_all()
+        except Exception as error:
+            # The backend server may have been reached before the fault.
+            text = f"the daemon failed: {error!r}; report it"
+            answer = messages.UnknownMessage(call.request_id, text, self.report())
+        # Known first: who finds the call gone finds its outcome too.
         self._outcomes.finish(call.request_id, answer, time.monotonic())
+        with self._lock:
+            self._in_progress -= 1
+            self._idle.notify_all()
         return answer
 
     def _admit_and_run(self, call, deadline) -> GateAnswer:
@@ -90,6 +114,9 @@
             return self._refuse(call, reason)
         started = time.monotonic()
         try:
+            if started >= deadline:
+                # This process was paused after the slot was granted.
+                return self._refuse(call, calls.NotRunReason.DEADLINE)
             answer = self._run_backend(call, deadline)
         except errors.BackendError as error:
             if not error.started:
@@ -158,21 +185,45 @@
     #   Other messages
     # -----------------------------------------------------------------------
 
-    def answer_aside(self, message: messages.Message) -> messages.Message | None:
+    def answer_aside(
+        self, message: messages.Message, connection: register.Connection
+    ) -> messages.Message | None:
         """Answer a message that asks for no slot.
 
         :param message: a cancellation or a resolve request.
+        :param connection: carried the message.
         :returns: the answer, or None where there is none.
         """
         if isinstance(message, messages.CancelMessage):
             self.cancel(message.request_id)
         elif isinstance(message, messages.ResolveMessage):
-            return self.resolve(message)
+            return self.resolve(message, connection)
         return None
 
-    def resolve(self, message: messages.ResolveMessage) -> messages.ResolutionMessage:
-        """Say what became of a request; one never seen is barred from now on."""
-        return self._outcomes.resolve(message.request_id, time.monotonic())
+    def resolve(
+        self, message: messages.ResolveMessage, connection: register.Connection | None
+    ) -> messages.ResolutionMessage:
+        """Say what became of a request; one that never arrived never will.
+
+        :param message: names the request and where it entered.
+        :param connection: carried the message; None for one of this process.
+        :returns: the state and, for a finished request, its answer.
+        """
+        return self._outcomes.resolve(message, connection, time.monotonic())
+
+    def open_connection(
+        self, session: str, number: int, close: collections.abc.Callable[[], None]
+    ) -> register.Connection:
+        """Note a connection of another daemon; see :class:`OutcomeRegister`."""
+        return self._outcomes.open(session, number, close)
+
+    def close_connection(self, connection: register.Connection) -> None:
+        """Note that a connection of another daemon has ended."""
+        self._outcomes.close(connection)
+
+    def stop_accepting(self, connection: register.Connection) -> int:
+        """Accept no further call; return the number of the last accepted."""
+        return self._outcomes.stop_accepting(connection)
 
     def cancel(self, request_id: str) -> None:
         """Withdraw a request that still waits; one that runs is left to end."""
@@ -181,6 +232,11 @@
             if admission is not None and not admission.granted.is_set():
                 self._queue.withdraw(admission.entry)
                 admission.granted.set()
+            else:
+                return
+        # Told at once, for the question that follows a cancellation.
+        refused = self._refuse(admission.entry, calls.NotRunReason.CANCELLED)
+        self._outcomes.finish(request_id, refused, time.monotonic())
 
     def report(self) -> messages.LoadReport:
         """Return the load of the backend server as it is now."""
@@ -190,6 +246,11 @@
             queue.busy, queue.waiting, queue.slots, service_us, self.leaving
         )
 
+    def leave(self) -> None:
+        """Refuse every new call from now on."""
+        with self._lock:
+            self.leaving = True
+
     def drain(self, deadline: float) -> bool:
         """Refuse new calls and wait until those in progress have ended.
 
--- a/src/savoryhollow/backend/client.py
+++ b/src/savoryhollow/backend/client.py
@@ -18,6 +18,8 @@
 HOP_HEADERS = frozenset(
     ("connection", "keep-alive", "transfer-encoding", "content-length", "te", "upgrade")
 )
+# Bytes of a body read at one time.
+READ_BYTES = 1 << 16
 # Tells the backend server how long the answer is of use, in ms.
 DEADLINE_HEADER = "X-Deadline-Ms"
 # Tells the backend server the id of the request.
@@ -97,7 +99,8 @@
 
     def _exchange(self, connection, call, deadline):
         remaining_s = max(1e-3, deadline - time.monotonic())
-        connection.sock.settimeout(remaining_s)
+        sock = connection.sock
+        sock.settimeout(remaining_s)
         headers = {header.name: header.value for header in call.headers}
         headers[REQUEST_ID_HEADER] = call.request_id
         headers[DEADLINE_HEADER] = str(int(remaining_s * 1000))
@@ -105,9 +108,7 @@
             call.method, call.path, call.body, headers, preload_content=False
         )
         response = connection.getresponse()
-        body = response.read(self._max_body_bytes + 1, decode_content=False)
-        if len(body) > self._max_body_bytes:
-            raise http.client.HTTPException("the answer is larger than the limit")
+        body = self._read_body(sock, response, deadline)
         if response.headers.get("connection", "").lower() == "close":
             connection.close()
         passed = tuple(
@@ -116,3 +117,23 @@
             if name.lower() not in HOP_HEADERS
         )
         return BackendAnswer(response.status, passed, body)
+
+    def _read_body(self, sock, response, deadline) -> bytes:
+        if response.length_remaining is None and not response.chunked:
+            text = "the answer tells no length; it can't be known to be whole"
+            raise http.client.HTTPException(text)
+        parts = []
+        size = 0
+        # A time limit of the socket holds for each read; the deadline for all.
+        while part := response.read1(READ_BYTES, decode_content=False):
+            parts.append(part)
+            size += len(part)
+            if size > self._max_body_bytes:
+                raise http.client.HTTPException("the answer is larger than the limit")
+            if response.length_remaining == 0:
+                break
+            remaining_s = deadline - time.monotonic()
+            if remaining_s <= 0:
+                raise TimeoutError("the answer was not whole at the deadline")
+            sock.settimeout(remaining_s)
+        return b"".join(parts)
--- a/src/savoryhollow/calls.py
+++ b/src/savoryhollow/calls.py
@@ -14,6 +14,7 @@
     "Header",
     "NotRun",
     "NotRunReason",
+    "Origin",
     "Outcome",
     "Served",
     "Ticket",
@@ -96,13 +97,32 @@
     UNREACHABLE = "unreachable"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where a call entered the inner protocol.
+
+    :param session: the incarnation of the router that sent it.
+    :param connection: the number of its connection within the session.
+    :param number: which call on that connection it was; the first is 1.
+    """
+
+    session: str
+    connection: int
+    number: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
-    """Names the one endpoint incarnation that may have run a request."""
+    """Names the one endpoint incarnation that may have run a request.
+
+    :param request_id: the id of the attempt there.
+    :param origin: where the attempt entered the inner protocol.
+    """
 
     request_id: str
     endpoint_id: str
     incarnation: str
+    origin: Origin
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -70,10 +70,13 @@
         """
         events.emit(events.Event.DAEMON_STOPPING)
         deadline = time.monotonic() + self.settings.drain_limit_ms / 1000
-        drained = self.gate.drain(deadline)
+        self.gate.leave()
+        self._inner.announce_leaving()
+        # Callers' requests may be in progress here and run elsewhere.
         self._front.stop()
+        drained = self.gate.drain(deadline)
+        drained = self._inner.stop(deadline) and drained
         self._reader.stop()
-        self._inner.stop()
         self._connections.close()
         self._operator.stop()
         self._backend.close()
@@ -124,8 +127,7 @@
             settings.inner.host,
             settings.inner.port,
             hello,
-            self.gate.serve,
-            self.gate.answer_aside,
+            self.gate,
         )
         self._front = webserver.WebServer(
             settings.front.host,
--- a/src/savoryhollow/front/answering.py
+++ b/src/savoryhollow/front/answering.py
@@ -43,7 +43,9 @@
 
 def ticket_text(ticket: calls.Ticket) -> str:
     """Return a ticket as callers carry it."""
-    return f"{ticket.request_id}/{ticket.endpoint_id}/{ticket.incarnation}"
+    origin = ticket.origin
+    entry = f"{origin.session}:{origin.connection}:{origin.number}"
+    return f"{ticket.request_id}/{ticket.endpoint_id}/{ticket.incarnation}/{entry}"
 
 
 def _answer_not_run(outcome: calls.NotRun) -> webserver.HttpAnswer:
--- a/src/savoryhollow/front/parsing.py
+++ b/src/savoryhollow/front/parsing.py
@@ -42,6 +42,7 @@
 )
 
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,63}")
+_ORIGIN = re.compile(r"([0-9a-f]{1,64}):([0-9]{1,18}):([0-9]{1,18})")
 _METHODS = frozenset(("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"))
 
 
@@ -137,10 +138,13 @@
     text = fields.get(TICKET)
     if text is None:
         return None
-    parts = text.split("/")
-    if len(parts) != 3 or not all(_NAME.fullmatch(part) for part in parts):
+    *names, entry = text.split("/")
+    origin = _ORIGIN.fullmatch(entry)
+    valid = len(names) == 3 and all(_NAME.fullmatch(name) for name in names)
+    if not valid or origin is None:
         raise errors.BadRequestError(f"{TICKET} is no ticket; send it as it was given")
-    return calls.Ticket(*parts)
+    session, connection, number = origin.groups()
+    return calls.Ticket(*names, calls.Origin(session, int(connection), int(number)))
 
 
 def _request_id(fields, idempotent, ticket) -> str:
--- a/src/savoryhollow/recovery/register.py
+++ b/src/savoryhollow/recovery/register.py
@@ -1,74 +1,159 @@
-"""What one incarnation of a gate knows of each request id.
+"""What one incarnation of a gate knows of each request.
 
-An id that was asked after before its call arrived is barred: the call, should
-it still arrive, is refused. So a router may place the request elsewhere.
+That a request never started, and never will, is said on proof alone: the
+connection that carried it is known here, accepts no further call, and had not
+accepted the request. No clock takes part in the proof. What is forgotten is
+answered as forgotten, never as not run.
 """
 
 import collections
+import collections.abc
 import dataclasses
+import enum
+import heapq
 import threading
 import typing
 
 from savoryhollow.wire import messages
 
-__all__ = ["OutcomeRegister"]
+__all__ = ["Beginning", "Connection", "OutcomeRegister"]
 
-# How long a bar or a finished answer outlives its deadline, in s.
+# How long the outcome of a request outlives its deadline, in s.
 KEEP_S = 10.0
-# How long a bar is held for an id that was never seen, in s.
-BAR_S = 60.0
 # Records held at one time.
-MAX_RECORDS = 20_000
+MAX_RECORDS = 8192
 # Bytes of finished answers held at one time.
 MAX_ANSWER_BYTES = 4 << 20
+# Closed connections remembered at one time.
+MAX_CLOSED = 2048
 
 GateAnswer: typing.TypeAlias = (
     messages.ServedMessage | messages.NotRunMessage | messages.UnknownMessage
 )
 
 
+class Beginning(enum.Enum):
+    """Whether a call may go on."""
+
+    ACCEPTED = enum.auto()
+    BARRED = enum.auto()
+    DUPLICATE = enum.auto()
+    FULL = enum.auto()
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Connection:
+    """One connection on which calls arrive in their order.
+
+    :param session: the incarnation of the router at the other end.
+    :param number: the connection's number within the session.
+    :param close: ends the connection; it may be called by any thread.
+    :param accepted: calls accepted so far.
+    :param void: whether no further call is accepted.
+    """
+
+    session: str
+    number: int
+    close: collections.abc.Callable[[], None]
+    accepted: int = 0
+    void: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class _Record:
     state: messages.ResolutionState
-    forget_at: float
+    deadline: float
     answer: messages.ServedMessage | None = None
 
 
 class OutcomeRegister:
-    """Remembers request ids within a bounded memory.
+    """Remembers connections and the outcomes of requests in a bounded memory.
 
-    A full register begins no further request: a record is never dropped
-    before its time, as its bar would go with it.
+    A running request is never forgotten. At the bound the outcome that would
+    be forgotten next goes first.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._records_by_id: collections.OrderedDict[str, _Record] = (
-            collections.OrderedDict()
-        )
+        self._records_by_id: dict[str, _Record] = {}
+        self._ended: list[tuple[float, str]] = []
         self._answer_bytes = 0
+        self._connections_by_origin: dict[tuple[str, int], Connection] = {}
+        self._closed: collections.deque[Connection] = collections.deque()
 
     def __len__(self) -> int:
         return len(self._records_by_id)
 
-    def begin(self, request_id: str, deadline: float, now: float) -> bool:
-        """Note that a request has arrived.
+    # -----------------------------------------------------------------------
+    #   Connections
+    # -----------------------------------------------------------------------
+
+    def open(
+        self, session: str, number: int, close: collections.abc.Callable[[], None]
+    ) -> Connection:
+        """Note a new connection.
+
+        :param session: the incarnation of the router at the other end.
+        :param number: the connection's number within the session.
+        :param close: ends the connection.
+        :returns: the connection; it is void where its number is known already.
+        """
+        connection = Connection(session, number, close)
+        with self._lock:
+            key = (session, number)
+            connection.void = key in self._connections_by_origin
+            self._connections_by_origin.setdefault(key, connection)
+        return connection
+
+    def close(self, connection: Connection) -> None:
+        """Note that a connection has ended; no call on it is accepted any more."""
+        with self._lock:
+            connection.void = True
+            key = (connection.session, connection.number)
+            if self._connections_by_origin.get(key) is not connection:
+                return
+            if connection not in self._closed:
+                self._closed.append(connection)
+            while len(self._closed) > MAX_CLOSED:
+                oldest = self._closed.popleft()
+                del self._connections_by_origin[oldest.session, oldest.number]
+
+    def stop_accepting(self, connection: Connection) -> int:
+        """Accept no further call on a connection.
+
+        :param connection: the connection.
+        :returns: the number of the last call that was accepted on it.
+        """
+        with self._lock:
+            connection.void = True
+            return connection.accepted
+
+    # -----------------------------------------------------------------------
+    #   Requests
+    # -----------------------------------------------------------------------
+
+    def begin(
+        self, request_id: str, connection: Connection | None, deadline: float
+    ) -> Beginning:
+        """Note that a call has arrived.
 
         :param request_id: the id of the request.
+        :param connection: carried the call; None for a call of this process.
         :param deadline: the instant after which its answer is of no use.
-        :param now: the present instant.
-        :returns: whether it may go on; False where the id is known already or
-            barred, or where the register is full.
+        :returns: whether it may go on.
         """
         with self._lock:
-            self._forget_old(now)
+            if connection is not None and not connection.void:
+                connection.accepted += 1
             if request_id in self._records_by_id:
-                return False
-            if len(self._records_by_id) >= MAX_RECORDS:
-                return False
+                return Beginning.DUPLICATE
+            if connection is not None and connection.void:
+                return Beginning.BARRED
+            if len(self._records_by_id) >= MAX_RECORDS and not self._forget_one():
+                return Beginning.FULL
             state = messages.ResolutionState.RUNNING
-            self._records_by_id[request_id] = _Record(state, deadline + KEEP_S)
-            return True
+            self._records_by_id[request_id] = _Record(state, deadline)
+            return Beginning.ACCEPTED
 
     def finish(self, request_id: str, answer: GateAnswer, now: float) -> None:
         """Note the answer of a request that began here.
@@ -78,52 +163,79 @@
         :param now: the present instant.
         """
         with self._lock:
+            self._forget_old(now)
             record = self._records_by_id.get(request_id)
-            if record is None:
+            if record is None or record.state is not messages.ResolutionState.RUNNING:
                 return
-            record.forget_at = max(record.forget_at, now + KEEP_S)
             if isinstance(answer, messages.NotRunMessage):
                 record.state = messages.ResolutionState.BARRED
             elif isinstance(answer, messages.UnknownMessage):
                 record.state = messages.ResolutionState.FORGOTTEN
             else:
                 self._keep_answer(record, answer)
+            forget_at = max(record.deadline, now) + KEEP_S
+            heapq.heappush(self._ended, (forget_at, request_id))
 
-    def resolve(self, request_id: str, now: float) -> messages.ResolutionMessage:
-        """Say what became of a request; one never seen is barred from now on.
+    def resolve(
+        self, message: messages.ResolveMessage, asker: Connection | None, now: float
+    ) -> messages.ResolutionMessage:
+        """Say what became of a request; one that never arrived never will.
 
-        :param request_id: the id of the request.
+        :param message: names the request and where it entered.
+        :param asker: the connection that the question came on; None for one of
+            this process.
         :param now: the present instant.
         :returns: the state and, for a finished request, its answer.
         """
+        origin = message.origin
+        request_id = message.request_id
         with self._lock:
             self._forget_old(now)
+            entry = (origin.session, origin.connection)
+            connection = self._connections_by_origin.get(entry)
             record = self._records_by_id.get(request_id)
-            if record is None:
-                record = self._bar(request_id, now)
+            arrived = connection is None or origin.number <= connection.accepted
+            abandoned = connection is not None and _is_abandoned(connection, asker)
+            ends = connection is not None and (abandoned or not arrived)
+            if connection is not None and ends:
+                connection.void = True
+        if connection is not None and ends:
+            connection.close()
+        if record is not None:
             return messages.ResolutionMessage(request_id, record.state, record.answer)
-
-    def _bar(self, request_id: str, now: float) -> _Record:
-        if len(self._records_by_id) >= MAX_RECORDS:
-            return _Record(messages.ResolutionState.FORGOTTEN, now)
-        record = _Record(messages.ResolutionState.BARRED, now + BAR_S)
-        self._records_by_id[request_id] = record
-        return record
+        if arrived:
+            state = messages.ResolutionState.FORGOTTEN
+        else:
+            state = messages.ResolutionState.BARRED
+        return messages.ResolutionMessage(request_id, state)
 
     def _keep_answer(self, record: _Record, answer: messages.ServedMessage) -> None:
-        if self._answer_bytes + len(answer.body) > MAX_ANSWER_BYTES:
+        size = len(answer.body)
+        while self._answer_bytes + size > MAX_ANSWER_BYTES and self._forget_one():
+            pass
+        if self._answer_bytes + size > MAX_ANSWER_BYTES:
             record.state = messages.ResolutionState.FORGOTTEN
             return
         record.state = messages.ResolutionState.FINISHED
         record.answer = answer
-        self._answer_bytes += len(answer.body)
+        self._answer_bytes += size
 
     def _forget_old(self, now: float) -> None:
-        while self._records_by_id:
-            request_id = next(iter(self._records_by_id))
-            record = self._records_by_id[request_id]
-            if record.forget_at > now:
-                return
-            del self._records_by_id[request_id]
-            if record.answer is not None:
-                self._answer_bytes -= len(record.answer.body)
+        while self._ended and self._ended[0][0] <= now:
+            self._forget_one()
+
+    def _forget_one(self) -> bool:
+        if not self._ended:
+            return False
+        _, request_id = heapq.heappop(self._ended)
+        record = self._records_by_id.pop(request_id)
+        if record.answer is not None:
+            self._answer_bytes -= len(record.answer.body)
+        return True
+
+
+def _is_abandoned(connection: Connection, asker: Connection | None) -> bool:
+    """Say whether a router asks on a newer connection about an older one."""
+    if asker is None or asker.session != connection.session:
+        return False
+    return asker.number > connection.number
--- a/src/savoryhollow/routing/peers.py
+++ b/src/savoryhollow/routing/peers.py
@@ -1,5 +1,7 @@
 """Connections to other daemons, one for each."""
 
+import dataclasses
+import itertools
 import threading
 
 from savoryhollow import errors
@@ -17,6 +19,7 @@
 
     def __init__(self, hello: messages.HelloMessage):
         self._hello = hello
+        self._numbers = itertools.count(1)
         self._lock = threading.Lock()
         self._locks_by_id: dict[str, threading.Lock] = {}
         self._exchanges_by_id: dict[str, exchange.Exchange] = {}
@@ -29,33 +32,27 @@
         :raises errors.WireError: where no connection came about.
         """
         known = self._exchanges_by_id.get(endpoint.endpoint_id)
-        if known is not None and not known.closed:
+        if known is not None and not known.closed and not known.leaving:
             return known
         with self._lock:
             lock = self._locks_by_id.setdefault(endpoint.endpoint_id, threading.Lock())
         with lock:
             known = self._exchanges_by_id.get(endpoint.endpoint_id)
-            if known is None or known.closed:
+            if known is None or known.closed or known.leaving:
                 known = self._connect(endpoint)
                 self._exchanges_by_id[endpoint.endpoint_id] = known
             return known
 
-    def renew(self, endpoint: table.Endpoint) -> exchange.Exchange:
-        """Close the connection to an endpoint's daemon and open a new one."""
-        known = self._exchanges_by_id.get(endpoint.endpoint_id)
-        if known is not None:
-            known.close()
-        return self.open(endpoint)
-
     def close(self) -> None:
         """Close every connection."""
         for known in list(self._exchanges_by_id.values()):
             known.close()
 
     def _connect(self, endpoint: table.Endpoint) -> exchange.Exchange:
-        opened, peer = channel.connect(endpoint.host, endpoint.port, self._hello)
+        hello = dataclasses.replace(self._hello, connection=next(self._numbers))
+        opened, peer = channel.connect(endpoint.host, endpoint.port, hello)
         if peer.endpoint_id != endpoint.endpoint_id:
             opened.close()
             text = f"{peer.endpoint_id} answers for {endpoint.endpoint_id}; wait"
             raise errors.ChannelClosedError(text)
-        return exchange.Exchange(opened, peer)
+        return exchange.Exchange(opened, hello, peer)
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -1,6 +1,7 @@
 """Take a call to an endpoint that can serve it, and account for it."""
 
 import dataclasses
+import random
 import threading
 import time
 import typing
@@ -16,19 +17,31 @@
 
 __all__ = ["Router"]
 
-# Time kept back for asking what became of a request, in s.
-RESOLVE_LIMIT_S = 1.0
+# Least time spent on asking what became of a request, in s.
+RESOLVE_LIMIT_S = 0.5
+# Pause before a question is asked again: the first and the longest one, in s.
+FIRST_PAUSE_S = 0.005
+LONGEST_PAUSE_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Result:
-    """What one attempt came to."""
+    """What one attempt came to.
+
+    :param origin: where it entered the inner protocol.
+    :param lost: whether its answer had to be asked for.
+    """
 
     incarnation: str
+    origin: calls.Origin
     answer: exchange.Answer | None
     lost: bool = False
 
 
+# Stands for an attempt that was never sent.
+_UNSENT = _Result("", calls.Origin("", 0, 0), None)
+
+
 class Router:
     """Places calls on endpoints.
 
@@ -124,8 +137,11 @@
         endpoint = self._find(call.service, ticket.endpoint_id)
         if endpoint is None:
             return calls.Unknown(call.request_id, ticket, "its endpoint is gone")
-        result = self._resolve(endpoint, ticket.request_id, ticket.incarnation)
-        return self._outcome(call, endpoint, ticket.request_id, result)
+        sought = _Result(ticket.incarnation, ticket.origin, None, lost=True)
+        result = self._resolve(endpoint, ticket.request_id, sought, call.deadline)
+        request_id = ticket.request_id.rpartition(".")[0]
+        asked = dataclasses.replace(call, request_id=request_id)
+        return self._outcome(asked, endpoint, ticket.request_id, result)
 
     def evidence_by_id(self) -> dict[str, evidence.EndpointEvidence]:
         """Return the evidence held about each endpoint."""
@@ -167,7 +183,9 @@
         attempt_id = f"{call.request_id}.{attempt}"
         message = _message(call, attempt_id, started)
         if self._is_local(endpoint):
-            result = _Result(self._incarnation, self._local_gate.serve(message))
+            origin = calls.Origin(self._incarnation, 0, 0)
+            answer = self._local_gate.serve(message)
+            result = _Result(self._incarnation, origin, answer)
         else:
             result = self._send(endpoint, message, call.deadline)
         outcome = self._outcome(call, endpoint, attempt_id, result)
@@ -193,33 +211,58 @@
     def _send(self, endpoint, message, deadline) -> _Result:
         try:
             opened = self._connections.open(endpoint)
+            pending = opened.start(message)
         except errors.WireError:
-            return _Result("", None)
-        incarnation = opened.peer.incarnation
+            return _UNSENT
+        sent = _Result(opened.peer.incarnation, pending.origin, None, lost=True)
         try:
-            answer = opened.request(message, deadline)
+            answer = opened.finish(pending, deadline)
         except errors.WireError:
-            return self._resolve(endpoint, message.request_id, incarnation)
+            return self._resolve(endpoint, message.request_id, sent, deadline)
         if answer is None:
             opened.post(messages.CancelMessage(message.request_id))
-            return self._resolve(endpoint, message.request_id, incarnation)
-        return _Result(incarnation, answer)
+            return self._resolve(endpoint, message.request_id, sent, deadline)
+        return dataclasses.replace(sent, answer=answer, lost=False)
 
-    def _resolve(self, endpoint, attempt_id, incarnation) -> _Result:
-        asked = messages.ResolveMessage(attempt_id)
-        answer: exchange.Answer | None = None
+    # -----------------------------------------------------------------------
+    #   Lost answers
+    # -----------------------------------------------------------------------
+
+    def _resolve(self, endpoint, attempt_id, sought, deadline) -> _Result:
+        """Ask until the outcome is settled or time is up."""
+        asked = messages.ResolveMessage(attempt_id, sought.origin)
+        until = max(deadline, time.monotonic() + RESOLVE_LIMIT_S)
+        pause = FIRST_PAUSE_S
+        answer = None
+        while True:
+            try:
+                answer = self._ask(endpoint, asked, sought.incarnation, until)
+                if answer is None or _is_settled(answer):
+                    return dataclasses.replace(sought, answer=answer)
+            except errors.WireError:
+                # Nothing is known yet; a later question may get through.
+                pass
+            now = time.monotonic()
+            limit = until if answer is None else deadline
+            if now + pause >= limit:
+                return dataclasses.replace(sought, answer=answer)
+            time.sleep(pause * random.uniform(0.5, 1.0))
+            pause = min(LONGEST_PAUSE_S, 2 * pause)
+
+    def _ask(self, endpoint, asked, incarnation, until) -> exchange.Answer | None:
+        """Ask once; None where the incarnation is gone for good."""
         if self._is_local(endpoint):
-            if incarnation == self._incarnation:
-                answer = self._local_gate.resolve(asked)
-            return _Result(incarnation, answer, lost=True)
-        try:
-            opened = self._connections.open(endpoint)
-            if opened.peer.incarnation != incarnation:
-                return _Result(incarnation, None, lost=True)
-            answer = opened.request(asked, time.monotonic() + RESOLVE_LIMIT_S)
-        except errors.WireError:
-            return _Result(incarnation, None, lost=True)
-        return _Result(incarnation, answer, lost=True)
+            if incarnation != self._incarnation:
+                return None
+            return self._local_gate.resolve(asked, None)
+        opened = self._connections.open(endpoint)
+        if opened.peer.incarnation != incarnation:
+            return None
+        answer = opened.request(asked, min(until, time.monotonic() + RESOLVE_LIMIT_S))
+        if answer is None:
+            text = "no answer to a question; ask again on a new connection"
+            raise errors.ChannelClosedError(text)
+        return answer
 
     def _outcome(self, call, endpoint, attempt_id, result) -> calls.Outcome:
         answer = result.answer
@@ -241,7 +284,9 @@
             return _not_run(call, calls.NotRunReason.UNREACHABLE)
         if call.idempotent and time.monotonic() >= call.deadline:
             return calls.TimedOut(call.request_id, endpoint.endpoint_id)
-        ticket = calls.Ticket(attempt_id, endpoint.endpoint_id, result.incarnation)
+        ticket = calls.Ticket(
+            attempt_id, endpoint.endpoint_id, result.incarnation, result.origin
+        )
         return calls.Unknown(call.request_id, ticket, "the answer was lost")
 
     def _learn(self, candidate, result, started) -> None:
@@ -256,6 +301,12 @@
                 candidate.evidence.fail(now)
 
 
+def _is_settled(answer: exchange.Answer) -> bool:
+    if not isinstance(answer, messages.ResolutionMessage):
+        return True
+    return answer.state is not messages.ResolutionState.RUNNING
+
+
 def _not_run(call: calls.Call, reason: calls.NotRunReason) -> calls.NotRun:
     return calls.NotRun(call.request_id, reason, retrying.RETRY_AFTER_MS)
 
--- a/src/savoryhollow/wire/channel.py
+++ b/src/savoryhollow/wire/channel.py
@@ -228,14 +228,12 @@
     return channel, _greet(channel, hello)
 
 
-def accept(
-    sock: socket.socket, hello: messages.HelloMessage
-) -> tuple[Channel, messages.HelloMessage]:
-    """Answer the handshake of a peer and exchange greetings.
+def accept(sock: socket.socket) -> tuple[Channel, messages.HelloMessage]:
+    """Answer the handshake of a peer and take its greeting.
 
     :param sock: an accepted socket.
-    :param hello: the greeting of this process.
-    :returns: the channel and the greeting of the peer.
+    :returns: the channel, on which the peer waits for a greeting, and the
+        greeting of the peer.
     :raises errors.WireError: where the handshake fails.
     """
     _prepare(sock)
@@ -249,7 +247,9 @@
         channel.close()
         text = f"handshake refused: {protocol.handshake_exc}; connect with websockets"
         raise errors.MalformedMessageError(text)
-    return channel, _greet(channel, hello)
+    # The peer sends calls only once it is greeted, so it is known before that.
+    greeting = _await_greeting(channel)
+    return channel, greeting
 
 
 def _prepare(sock: socket.socket) -> None:
@@ -285,6 +285,10 @@
 
 def _greet(channel: Channel, hello: messages.HelloMessage) -> messages.HelloMessage:
     channel.send(hello)
+    return _await_greeting(channel)
+
+
+def _await_greeting(channel: Channel) -> messages.HelloMessage:
     greeting = channel.receive(time.monotonic() + HANDSHAKE_LIMIT_S)
     if not isinstance(greeting, messages.HelloMessage):
         channel.close()
--- a/src/savoryhollow/wire/codec.py
+++ b/src/savoryhollow/wire/codec.py
@@ -25,6 +25,7 @@
     messages.CancelMessage: 6,
     messages.ResolveMessage: 7,
     messages.ResolutionMessage: 8,
+    messages.GoAwayMessage: 9,
 }
 CLASSES_BY_KIND = {kind: cls for cls, kind in KINDS_BY_CLASS.items()}
 
--- a/src/savoryhollow/wire/exchange.py
+++ b/src/savoryhollow/wire/exchange.py
@@ -9,11 +9,11 @@
 import time
 import typing
 
-from savoryhollow import errors
+from savoryhollow import calls, errors
 from savoryhollow.wire import channel as channel_module
 from savoryhollow.wire import messages
 
-__all__ = ["Answer", "Exchange"]
+__all__ = ["Answer", "Exchange", "Pending"]
 
 Answer: typing.TypeAlias = (
     messages.ServedMessage
@@ -23,13 +23,20 @@
 )
 
 
-class _Waiter:
-    """One thread that waits for one answer."""
+class Pending:
+    """One request that is open, and the thread that waits for its answer.
 
-    __slots__ = ("answer", "event")
+    :param request_id: the id of the request.
+    :param origin: where the request entered the inner protocol.
+    """
+
+    __slots__ = ("answer", "event", "failure", "origin", "request_id")
 
-    def __init__(self) -> None:
+    def __init__(self, request_id: str, origin: calls.Origin):
+        self.request_id = request_id
+        self.origin = origin
         self.answer: Answer | None = None
+        self.failure: errors.WireError | None = None
         self.event = threading.Event()
 
 
@@ -37,15 +44,25 @@
     """The requests that this process has open on one connection.
 
     :param channel: an open channel that nothing else reads.
+    :param hello: the greeting of this process on it.
     :param peer: the greeting of the peer.
     """
 
-    def __init__(self, channel: channel_module.Channel, peer: messages.HelloMessage):
+    def __init__(
+        self,
+        channel: channel_module.Channel,
+        hello: messages.HelloMessage,
+        peer: messages.HelloMessage,
+    ):
         self._channel = channel
+        self._hello = hello
         self._lock = threading.Lock()
-        self._waiters_by_id: dict[str, _Waiter] = {}
+        self._send_lock = threading.Lock()
+        self._calls_sent = 0
+        self._waiters_by_id: dict[str, Pending] = {}
         self._reading = False
         self._failure: errors.WireError | None = None
+        self._last_number: int | None = None
         self.peer = peer
 
     @property
@@ -53,11 +70,51 @@
         """Whether no further request can be made."""
         return self._channel.closed or self._failure is not None
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the peer accepts no further call on this connection."""
+        return self._last_number is not None
+
     @property
     def bytes_total(self) -> int:
         """Bytes sent and received on the connection."""
         return self._channel.bytes_sent + self._channel.bytes_received
 
+    def start(self, message: messages.CallMessage | messages.ResolveMessage) -> Pending:
+        """Send a request.
+
+        :param message: the request; its id must not be open here already.
+        :returns: what :meth:`finish` waits for; a send that failed halfway is
+            told there, as the peer may have got the request.
+        :raises errors.WireError: where nothing at all was sent.
+        """
+        with self._send_lock:
+            # Numbers follow the order of sending, which the peer counts by.
+            counted = isinstance(message, messages.CallMessage)
+            number = self._calls_sent + 1 if counted else 0
+            pending = self._enter(message.request_id, number)
+            self._calls_sent += counted
+            try:
+                self._channel.send(message)
+            except errors.WireError as error:
+                pending.failure = error
+        return pending
+
+    def finish(self, pending: Pending, deadline: float) -> Answer | None:
+        """Wait for the answer of a request.
+
+        :param pending: the request as :meth:`start` returned it.
+        :param deadline: the monotonic instant to stop waiting at.
+        :returns: the answer, or None once the deadline has passed.
+        :raises errors.ChannelClosedError: where the connection ended first.
+        """
+        try:
+            if pending.failure is not None:
+                raise pending.failure
+            return self._wait(pending, deadline)
+        finally:
+            self._leave(pending.request_id)
+
     def request(
         self,
         message: messages.CallMessage | messages.ResolveMessage,
@@ -68,14 +125,9 @@
         :param message: the request; its id must not be open here already.
         :param deadline: the monotonic instant to stop waiting at.
         :returns: the answer, or None once the deadline has passed.
-        :raises errors.ChannelClosedError: where the connection ended first.
+        :raises errors.WireError: where the connection ended first.
         """
-        waiter = self._enter(message.request_id)
-        try:
-            self._channel.send(message)
-            return self._wait(waiter, deadline)
-        finally:
-            self._leave(message.request_id)
+        return self.finish(self.start(message), deadline)
 
     def post(self, message: messages.CancelMessage) -> None:
         """Send a message that has no answer; a lost connection is ignored."""
@@ -92,8 +144,10 @@
     #   Waiting and reading
     # -----------------------------------------------------------------------
 
-    def _enter(self, request_id: str) -> _Waiter:
-        waiter = _Waiter()
+    def _enter(self, request_id: str, number: int) -> Pending:
+        hello = self._hello
+        origin = calls.Origin(hello.incarnation, hello.connection, number)
+        waiter = Pending(request_id, origin)
         with self._lock:
             if self._failure is not None:
                 raise self._failure
@@ -108,7 +162,7 @@
             self._waiters_by_id.pop(request_id, None)
             self._wake_next_reader()
 
-    def _wait(self, waiter: _Waiter, deadline: float) -> Answer | None:
+    def _wait(self, waiter: Pending, deadline: float) -> Answer | None:
         while True:
             with self._lock:
                 if waiter.answer is not None:
@@ -130,6 +184,9 @@
     def _read_one(self, deadline: float) -> None:
         try:
             answer = self._channel.receive(deadline)
+            if isinstance(answer, messages.GoAwayMessage):
+                self._heed(answer)
+                return
             if answer is not None and not isinstance(answer, Answer):
                 text = f"{type(answer).__name__} is no answer; run matching versions"
                 raise errors.MalformedMessageError(text)
@@ -143,6 +200,15 @@
                 waiter.answer = answer
                 waiter.event.set()
 
+    def _heed(self, message: messages.GoAwayMessage) -> None:
+        with self._lock:
+            self._reading = False
+            self._last_number = message.last_number
+            for waiter in self._waiters_by_id.values():
+                if waiter.origin.number > message.last_number:
+                    waiter.answer = _refused(waiter.request_id)
+                    waiter.event.set()
+
     def _stop_reading(self) -> None:
         with self._lock:
             self._reading = False
@@ -163,3 +229,9 @@
             self._reading = False
             for waiter in self._waiters_by_id.values():
                 waiter.event.set()
+
+
+def _refused(request_id: str) -> messages.NotRunMessage:
+    load = messages.LoadReport(0, 0, 0, 0, leaving=True)
+    reason = calls.NotRunReason.LEAVING
+    return messages.NotRunMessage(request_id, reason, 0, load)
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -13,6 +13,7 @@
 __all__ = [
     "CallMessage",
     "CancelMessage",
+    "GoAwayMessage",
     "HelloMessage",
     "LoadReport",
     "Message",
@@ -26,7 +27,7 @@
 ]
 
 # Raised whenever a message changes in a way that an older peer can't read.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,11 +46,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HelloMessage:
-    """The first message on a connection, sent by both ends."""
+    """The first message on a connection, sent by both ends.
+
+    :param connection: numbers the connections that this incarnation opened; 0
+        from the end that accepts.
+    """
 
     version: int
     endpoint_id: str
     incarnation: str
+    connection: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,9 +115,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResolveMessage:
-    """Asks what became of a request, and bars it if it never started."""
+    """Asks what became of a request, and bars it if it never started.
+
+    :param origin: where the request entered the inner protocol.
+    """
 
     request_id: str
+    origin: calls.Origin
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GoAwayMessage:
+    """No call after the one numbered here was or will be accepted.
+
+    :param last_number: the last call accepted on this connection.
+    """
+
+    last_number: int
 
 
 class ResolutionState(enum.StrEnum):
@@ -144,4 +164,5 @@
     | CancelMessage
     | ResolveMessage
     | ResolutionMessage
+    | GoAwayMessage
 )
--- a/src/savoryhollow/wire/server.py
+++ b/src/savoryhollow/wire/server.py
@@ -2,27 +2,51 @@
 
 The thread that reads a request passes the reading of the connection on to
 another thread and serves the request itself, so the request is never handed
-over.
+over. Each call is counted before the next message of its connection is read.
 """
 
 import collections.abc
 import concurrent.futures
 import socket
 import threading
+import time
+import typing
 
 from savoryhollow import errors
 from savoryhollow.wire import channel as channel_module
 from savoryhollow.wire import messages
 
-__all__ = ["InnerServer"]
+__all__ = ["CallService", "InnerServer"]
 
 # Threads that read connections and serve requests.
 MAX_THREADS = 512
 # Connections waiting to be accepted.
 BACKLOG = 256
 
-CallHandler = collections.abc.Callable[[messages.CallMessage], messages.Message]
-AsideHandler = collections.abc.Callable[[messages.Message], messages.Message | None]
+Step = collections.abc.Callable[[], messages.Message]
+
+
+class CallService(typing.Protocol):
+    """What answers the messages of other daemons."""
+
+    def open_connection(
+        self, session: str, number: int, close: collections.abc.Callable[[], None]
+    ) -> typing.Any:
+        """Return what stands for a new connection."""
+
+    def close_connection(self, connection: typing.Any) -> None:
+        """Note that a connection has ended."""
+
+    def stop_accepting(self, connection: typing.Any) -> int:
+        """Accept no further call; return the number of the last accepted."""
+
+    def begin(self, call: messages.CallMessage, connection: typing.Any) -> Step:
+        """Note a call; return what serves it, which may block."""
+
+    def answer_aside(
+        self, message: messages.Message, connection: typing.Any
+    ) -> messages.Message | None:
+        """Answer any other message at once."""
 
 
 class InnerServer:
@@ -31,8 +55,7 @@
     :param host: the IP number to listen on.
     :param port: the port to listen on; 0 picks one.
     :param hello: the greeting of this process.
-    :param on_call: serves a call; it may block, and returns the answer.
-    :param on_aside: answers any other message at once.
+    :param service: answers the messages.
     """
 
     def __init__(
@@ -40,16 +63,16 @@
         host: str,
         port: int,
         hello: messages.HelloMessage,
-        on_call: CallHandler,
-        on_aside: AsideHandler,
+        service: CallService,
     ):
         self._hello = hello
-        self._on_call = on_call
-        self._on_aside = on_aside
+        self._service = service
         self._listener = socket.create_server((host, port), backlog=BACKLOG)
         self._threads = concurrent.futures.ThreadPoolExecutor(MAX_THREADS, "inner")
-        self._channels: set[channel_module.Channel] = set()
+        self._connections_by_channel: dict[channel_module.Channel, typing.Any] = {}
         self._lock = threading.Lock()
+        self._answered = threading.Condition(self._lock)
+        self._unanswered = 0
         self._stopping = False
 
     @property
@@ -61,15 +84,41 @@
         """Begin to accept connections in the background."""
         threading.Thread(target=self._accept_all, name="accept", daemon=True).start()
 
-    def stop(self) -> None:
-        """Close the listener and every connection."""
+    def announce_leaving(self) -> None:
+        """Accept no further call on any open connection, and say so on each."""
+        with self._lock:
+            connections_by_channel = dict(self._connections_by_channel)
+        for channel, connection in connections_by_channel.items():
+            last_number = self._service.stop_accepting(connection)
+            try:
+                channel.send(messages.GoAwayMessage(last_number))
+            except errors.WireError:
+                # Its reader finds the same and forgets the connection.
+                continue
+
+    def stop(self, deadline: float) -> bool:
+        """Close the listener, let every answer be sent, and close the rest.
+
+        :param deadline: the monotonic instant to stop waiting at.
+        :returns: whether every call was answered.
+        """
         self._stopping = True
+        # A thread that waits in accept is woken by the shutdown alone.
+        try:
+            self._listener.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
         self._listener.close()
+        self.announce_leaving()
         with self._lock:
-            channels = list(self._channels)
+            answered = self._answered.wait_for(
+                lambda: self._unanswered == 0, deadline - time.monotonic()
+            )
+            channels = list(self._connections_by_channel)
         for channel in channels:
             channel.close()
         self._threads.shutdown(wait=False, cancel_futures=True)
+        return answered
 
     def _accept_all(self) -> None:
         while not self._stopping:
@@ -88,29 +137,50 @@
 
     def _open(self, sock: socket.socket) -> None:
         try:
-            channel, _ = channel_module.accept(sock, self._hello)
+            channel, peer = channel_module.accept(sock)
         except errors.WireError:
             sock.close()
             return
+        connection = self._service.open_connection(
+            peer.incarnation, peer.connection, channel.close
+        )
         with self._lock:
-            self._channels.add(channel)
-        self._read(channel)
+            self._connections_by_channel[channel] = connection
+        try:
+            channel.send(self._hello)
+        except errors.WireError:
+            self._forget(channel)
+            return
+        self._read(channel, connection)
 
-    def _read(self, channel: channel_module.Channel) -> None:
+    def _read(self, channel: channel_module.Channel, connection: typing.Any) -> None:
         try:
             while True:
                 message = channel.receive_idle()
                 if isinstance(message, messages.CallMessage):
-                    self._submit(self._read, channel)
-                    channel.send(self._on_call(message))
+                    step = self._service.begin(message, connection)
+                    self._submit(self._read, channel, connection)
+                    self._answer(channel, step)
                     return
-                answer = self._on_aside(message)
+                answer = self._service.answer_aside(message, connection)
                 if answer is not None:
                     channel.send(answer)
         except errors.WireError:
             self._forget(channel)
 
+    def _answer(self, channel: channel_module.Channel, step: Step) -> None:
+        with self._lock:
+            self._unanswered += 1
+        try:
+            channel.send(step())
+        finally:
+            with self._lock:
+                self._unanswered -= 1
+                self._answered.notify_all()
+
     def _forget(self, channel: channel_module.Channel) -> None:
         channel.close()
         with self._lock:
-            self._channels.discard(channel)
+            connection = self._connections_by_channel.pop(channel, None)
+        if connection is not None:
+            self._service.close_connection(connection)
