--- a/src/savoryhollow/daemon/process.py
+++ b/src/savoryhollow/daemon/process.py
@@ -1,6 +1,7 @@
 """Run a daemon until it is told to stop."""
 
 import gc
+import os
 import pathlib
 import signal
 import threading
@@ -8,10 +9,14 @@
 from absl import logging
 
 from savoryhollow.daemon import assembly
+from savoryhollow.observe import events
 from savoryhollow.settings import loading
 
 __all__ = ["run"]
 
+# Time that a shutdown may take beyond its drain limit, in s.
+STOP_MARGIN_S = 2.0
+
 
 def run(path: pathlib.Path) -> int:
     """Run a daemon until SIGTERM or SIGINT.
@@ -32,4 +37,20 @@
     # What is alive now lives as long as the process; keep the collector off it.
     gc.freeze()
     told.wait()
-    return 0 if daemon.stop() else 1
+    return _stop(daemon, settings.drain_limit_ms / 1000 + STOP_MARGIN_S)
+
+
+def _stop(daemon: assembly.Daemon, limit_s: float) -> int:
+    drained: list[bool] = []
+    thread = threading.Thread(
+        target=lambda: drained.append(daemon.stop()), name="stop", daemon=True
+    )
+    thread.start()
+    thread.join(limit_s)
+    if drained == [True]:
+        return 0
+    if not drained:
+        events.emit(events.Event.DAEMON_STOPPED, drained=False)
+    logging.flush()
+    # A thread that is still in a request would hold up an ordinary exit.
+    os._exit(1)
