--- a/src/savoryhollow/admission/gate.py
+++ b/src/savoryhollow/admission/gate.py
@@ -221,7 +221,7 @@
         """Note that a connection of another daemon has ended."""
         self._outcomes.close(connection)
 
-    def stop_accepting(self, connection: register.Connection) -> int:
+    def stop_accepting(self, connection: register.Connection) -> int | None:
         """Accept no further call; return the number of the last accepted."""
         return self._outcomes.stop_accepting(connection)
 
--- a/src/savoryhollow/backend/client.py
+++ b/src/savoryhollow/backend/client.py
@@ -38,8 +38,8 @@
 class BackendClient:
     """Keeps connections to one backend server.
 
-    urllib3's connections are used below its pool, whose own retries and
-    bookkeeping a gate has no use for.
+    urllib3's connections are driven through the standard library's part of them:
+    a gate has no use for the pool, its retries or its decoding of answers.
 
     :param host: the IP number of the backend server.
     :param port: its port.
@@ -104,12 +104,11 @@
         headers = {header.name: header.value for header in call.headers}
         headers[REQUEST_ID_HEADER] = call.request_id
         headers[DEADLINE_HEADER] = str(int(remaining_s * 1000))
-        connection.request(
-            call.method, call.path, call.body, headers, preload_content=False
-        )
-        response = connection.getresponse()
-        body = self._read_body(sock, response, deadline)
-        if response.headers.get("connection", "").lower() == "close":
+        base = http.client.HTTPConnection
+        base.request(connection, call.method, call.path, call.body or None, headers)
+        response = base.getresponse(connection)
+        body = self._read_whole(sock, response, deadline)
+        if response.will_close:
             connection.close()
         passed = tuple(
             calls.Header(name, value)
@@ -118,22 +117,30 @@
         )
         return BackendAnswer(response.status, passed, body)
 
-    def _read_body(self, sock, response, deadline) -> bytes:
-        if response.length_remaining is None and not response.chunked:
-            text = "the answer tells no length; it can't be known to be whole"
-            raise http.client.HTTPException(text)
-        parts = []
-        size = 0
+    def _read_whole(self, sock, response, deadline) -> bytes:
+        length = response.length
+        limit = self._max_body_bytes
+        if length is None and not response.chunked:
+            raise http.client.HTTPException("the answer does not tell its length")
+        body = b""
         # A time limit of the socket holds for each read; the deadline for all.
-        while part := response.read1(READ_BYTES, decode_content=False):
-            parts.append(part)
-            size += len(part)
-            if size > self._max_body_bytes:
+        while length is None or len(body) < length:
+            part = response.read1(READ_BYTES)
+            body += part
+            if len(body) > limit or (length is not None and length > limit):
                 raise http.client.HTTPException("the answer is larger than the limit")
-            if response.length_remaining == 0:
+            if not part:
                 break
-            remaining_s = deadline - time.monotonic()
-            if remaining_s <= 0:
-                raise TimeoutError("the answer was not whole at the deadline")
-            sock.settimeout(remaining_s)
-        return b"".join(parts)
+            if length is None or len(body) < length:
+                sock.settimeout(_remaining_s(deadline))
+        if length is not None and len(body) < length:
+            raise http.client.IncompleteRead(b"", length - len(body))
+        response.close()
+        return body
+
+
+def _remaining_s(deadline: float) -> float:
+    remaining_s = deadline - time.monotonic()
+    if remaining_s <= 0:
+        raise TimeoutError("the answer was not whole at the deadline")
+    return remaining_s
--- a/src/savoryhollow/configuration/merging.py
+++ b/src/savoryhollow/configuration/merging.py
@@ -1,7 +1,8 @@
 """Merge a folder of small JSON files in the order of their names.
 
 Objects merge key by key; any other value of a later file replaces the earlier
-one, a list as a whole; ``null`` takes the key out.
+one, a list as a whole; ``null`` takes the key out. So the merge of the first
+files, written out as one file, can stand in their place.
 """
 
 import dataclasses
@@ -71,23 +72,23 @@
 
 def _merge_object(target, source, name, path, origins_by_path) -> None:
     for key, value in source.items():
-        at = f"{path}.{key}" if path else key
+        at = validation.join_path(path, key)
         if value is None:
-            target.pop(key, None)
-            _drop_origins(origins_by_path, at)
+            _drop_origins(origins_by_path, at, target.pop(key, None))
         elif isinstance(value, dict):
             if not isinstance(target.get(key), dict):
                 target[key] = {}
-                _drop_origins(origins_by_path, at)
+                origins_by_path.pop(at, None)
             origins_by_path.setdefault(at, name)
             _merge_object(target[key], value, name, at, origins_by_path)
         else:
+            _drop_origins(origins_by_path, at, target.get(key))
             target[key] = value
-            _drop_origins(origins_by_path, at)
             origins_by_path[at] = name
 
 
-def _drop_origins(origins_by_path: dict[str, str], path: str) -> None:
-    below = path + "."
-    for known in [p for p in origins_by_path if p == path or p.startswith(below)]:
-        del origins_by_path[known]
+def _drop_origins(origins_by_path: dict[str, str], path: str, old: typing.Any) -> None:
+    origins_by_path.pop(path, None)
+    if isinstance(old, dict):
+        for key, value in old.items():
+            _drop_origins(origins_by_path, validation.join_path(path, key), value)
--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -17,8 +17,7 @@
 from savoryhollow.recovery import register
 from savoryhollow.routing import peers, placement, router
 from savoryhollow.settings import models as settings_models
-from savoryhollow.store import client as store_client
-from savoryhollow.store import reader
+from savoryhollow.store import following
 from savoryhollow.wire import messages, server
 
 __all__ = ["Daemon"]
@@ -45,13 +44,13 @@
         )
         self._build_gate()
         self._build_router(hello)
-        self._build_store()
+        self._build_store(hello)
         self._build_ports(hello)
 
     def start(self) -> None:
         """Open every port and begin to follow the platform."""
-        self._reader.start()
         self._inner.start()
+        self.holder.start()
         self._operator.start()
         self._front.start()
         events.emit(
@@ -76,7 +75,7 @@
         self._front.stop()
         drained = self.gate.drain(deadline)
         drained = self._inner.stop(deadline) and drained
-        self._reader.stop()
+        self.holder.stop()
         self._connections.close()
         self._operator.stop()
         self._backend.close()
@@ -113,13 +112,11 @@
             self.placements.add,
         )
 
-    def _build_store(self) -> None:
-        settings = self.settings
-        self.store = store_client.StoreClient(
-            settings.store.host, settings.store.port, settings.region
+    def _build_store(self, hello: messages.HelloMessage) -> None:
+        self.holder = following.Follower(
+            self.settings, hello, self.members, self._configure
         )
-        self.holder = reader.ConfigurationHolder(self._configure)
-        self._reader = reader.StoreReader(self.store, self.holder, self.members)
+        self.store = self.holder.store
 
     def _build_ports(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
@@ -128,6 +125,7 @@
             settings.inner.port,
             hello,
             self.gate,
+            self._answer_aside,
         )
         self._front = webserver.WebServer(
             settings.front.host,
@@ -152,6 +150,14 @@
             ),
         )
 
+    def _answer_aside(
+        self, message: messages.Message, connection: register.Connection
+    ) -> messages.Message | None:
+        answer = self.holder.publications.answer(message)
+        if answer is not None:
+            return answer
+        return self.gate.answer_aside(message, connection)
+
     def _configure(self, configuration: models.Configuration) -> None:
         self.router.configure(configuration)
         own = configuration.services.get(self.settings.service)
--- a/src/savoryhollow/recovery/register.py
+++ b/src/savoryhollow/recovery/register.py
@@ -24,6 +24,8 @@
 MAX_RECORDS = 8192
 # Bytes of finished answers held at one time.
 MAX_ANSWER_BYTES = 4 << 20
+# The number of connections that carry no calls.
+NO_CALLS = 0
 # Closed connections remembered at one time.
 MAX_CLOSED = 2048
 
@@ -96,9 +98,13 @@
         :param session: the incarnation of the router at the other end.
         :param number: the connection's number within the session.
         :param close: ends the connection.
-        :returns: the connection; it is void where its number is known already.
+        :returns: the connection; it is void where it carries no calls or its
+            number is known already.
         """
         connection = Connection(session, number, close)
+        if number == NO_CALLS:
+            connection.void = True
+            return connection
         with self._lock:
             key = (session, number)
             connection.void = key in self._connections_by_origin
@@ -118,12 +124,15 @@
                 oldest = self._closed.popleft()
                 del self._connections_by_origin[oldest.session, oldest.number]
 
-    def stop_accepting(self, connection: Connection) -> int:
+    def stop_accepting(self, connection: Connection) -> int | None:
         """Accept no further call on a connection.
 
         :param connection: the connection.
-        :returns: the number of the last call that was accepted on it.
+        :returns: the number of the last call that was accepted on it, or None
+            where it carries no calls.
         """
+        if connection.number == NO_CALLS:
+            return None
         with self._lock:
             connection.void = True
             return connection.accepted
--- a/src/savoryhollow/wire/codec.py
+++ b/src/savoryhollow/wire/codec.py
@@ -25,7 +25,9 @@
     messages.CancelMessage: 6,
     messages.ResolveMessage: 7,
     messages.ResolutionMessage: 8,
-    messages.GoAwayMessage: 9,
+    messages.CompareMessage: 9,
+    messages.RelayMessage: 10,
+    messages.GoAwayMessage: 11,
 }
 CLASSES_BY_KIND = {kind: cls for cls, kind in KINDS_BY_CLASS.items()}
 
--- a/src/savoryhollow/wire/server.py
+++ b/src/savoryhollow/wire/server.py
@@ -23,11 +23,14 @@
 # Connections waiting to be accepted.
 BACKLOG = 256
 
+AsideHandler = collections.abc.Callable[
+    [messages.Message, typing.Any], messages.Message | None
+]
 Step = collections.abc.Callable[[], messages.Message]
 
 
 class CallService(typing.Protocol):
-    """What answers the messages of other daemons."""
+    """What serves the calls of other daemons."""
 
     def open_connection(
         self, session: str, number: int, close: collections.abc.Callable[[], None]
@@ -37,17 +40,15 @@
     def close_connection(self, connection: typing.Any) -> None:
         """Note that a connection has ended."""
 
-    def stop_accepting(self, connection: typing.Any) -> int:
-        """Accept no further call; return the number of the last accepted."""
+    def stop_accepting(self, connection: typing.Any) -> int | None:
+        """Accept no further call; return the number of the last accepted.
+
+        None is returned for a connection that carries no calls.
+        """
 
     def begin(self, call: messages.CallMessage, connection: typing.Any) -> Step:
         """Note a call; return what serves it, which may block."""
 
-    def answer_aside(
-        self, message: messages.Message, connection: typing.Any
-    ) -> messages.Message | None:
-        """Answer any other message at once."""
-
 
 class InnerServer:
     """Listens for other daemons.
@@ -55,7 +56,8 @@
     :param host: the IP number to listen on.
     :param port: the port to listen on; 0 picks one.
     :param hello: the greeting of this process.
-    :param service: answers the messages.
+    :param service: knows the connections and serves the calls on them.
+    :param on_aside: answers any other message at once.
     """
 
     def __init__(
@@ -64,9 +66,11 @@
         port: int,
         hello: messages.HelloMessage,
         service: CallService,
+        on_aside: AsideHandler,
     ):
         self._hello = hello
         self._service = service
+        self._on_aside = on_aside
         self._listener = socket.create_server((host, port), backlog=BACKLOG)
         self._threads = concurrent.futures.ThreadPoolExecutor(MAX_THREADS, "inner")
         self._connections_by_channel: dict[channel_module.Channel, typing.Any] = {}
@@ -90,6 +94,8 @@
             connections_by_channel = dict(self._connections_by_channel)
         for channel, connection in connections_by_channel.items():
             last_number = self._service.stop_accepting(connection)
+            if last_number is None:
+                continue
             try:
                 channel.send(messages.GoAwayMessage(last_number))
             except errors.WireError:
@@ -162,7 +168,7 @@
                     self._submit(self._read, channel, connection)
                     self._answer(channel, step)
                     return
-                answer = self._service.answer_aside(message, connection)
+                answer = self._on_aside(message, connection)
                 if answer is not None:
                     channel.send(answer)
         except errors.WireError:
