--- a/src/savoryhollow/wire/server.py
+++ b/src/savoryhollow/wire/server.py
@@ -164,6 +164,9 @@
             while True:
                 message = channel.receive_idle()
                 if isinstance(message, messages.CallMessage):
+                    # Counted before it begins, so that a stop can't miss it.
+                    with self._lock:
+                        self._unanswered += 1
                     step = self._service.begin(message, connection)
                     self._submit(self._read, channel, connection)
                     self._answer(channel, step)
@@ -175,8 +178,6 @@
             self._forget(channel)
 
     def _answer(self, channel: channel_module.Channel, step: Step) -> None:
-        with self._lock:
-            self._unanswered += 1
         try:
             channel.send(step())
         finally:
