--- a/src/savoryhollow/backend/client.py
+++ b/src/savoryhollow/backend/client.py
@@ -18,6 +18,8 @@
 HOP_HEADERS = frozenset(
     ("connection", "keep-alive", "transfer-encoding", "content-length", "te", "upgrade")
 )
+# Bytes of a body read at one time.
+READ_BYTES = 1 << 16
 # Tells the backend server how long the answer is of use, in ms.
 DEADLINE_HEADER = "X-Deadline-Ms"
 # Tells the backend server the id of the request.
@@ -95,29 +97,17 @@
             raise errors.BackendError(text, started=False) from error
         return connection
 
-    def _read_whole(self, response: http.client.HTTPResponse) -> bytes:
-        limit = self._max_body_bytes
-        if response.length is not None:
-            if response.length > limit:
-                raise http.client.HTTPException("the answer is larger than the limit")
-            return response.read()
-        if not response.chunked:
-            raise http.client.HTTPException("the answer does not tell its length")
-        body = response.read(limit + 1)
-        if len(body) > limit:
-            raise http.client.HTTPException("the answer is larger than the limit")
-        return body
-
     def _exchange(self, connection, call, deadline):
         remaining_s = max(1e-3, deadline - time.monotonic())
-        connection.sock.settimeout(remaining_s)
+        sock = connection.sock
+        sock.settimeout(remaining_s)
         headers = {header.name: header.value for header in call.headers}
         headers[REQUEST_ID_HEADER] = call.request_id
         headers[DEADLINE_HEADER] = str(int(remaining_s * 1000))
         base = http.client.HTTPConnection
         base.request(connection, call.method, call.path, call.body or None, headers)
         response = base.getresponse(connection)
-        body = self._read_whole(response)
+        body = self._read_whole(sock, response, deadline)
         if response.will_close:
             connection.close()
         passed = tuple(
@@ -126,3 +116,31 @@
             if name.lower() not in HOP_HEADERS
         )
         return BackendAnswer(response.status, passed, body)
+
+    def _read_whole(self, sock, response, deadline) -> bytes:
+        length = response.length
+        limit = self._max_body_bytes
+        if length is None and not response.chunked:
+            raise http.client.HTTPException("the answer does not tell its length")
+        body = b""
+        # A time limit of the socket holds for each read; the deadline for all.
+        while length is None or len(body) < length:
+            part = response.read1(READ_BYTES)
+            body += part
+            if len(body) > limit or (length is not None and length > limit):
+                raise http.client.HTTPException("the answer is larger than the limit")
+            if not part:
+                break
+            if length is None or len(body) < length:
+                sock.settimeout(_remaining_s(deadline))
+        if length is not None and len(body) < length:
+            raise http.client.IncompleteRead(b"", length - len(body))
+        response.close()
+        return body
+
+
+def _remaining_s(deadline: float) -> float:
+    remaining_s = deadline - time.monotonic()
+    if remaining_s <= 0:
+        raise TimeoutError("the answer was not whole at the deadline")
+    return remaining_s
--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -88,10 +88,13 @@
         """
         events.emit(events.Event.DAEMON_STOPPING)
         deadline = time.monotonic() + self.settings.drain_limit_ms / 1000
-        drained = self.gate.drain(deadline)
+        self.gate.leave()
+        self._inner.announce_leaving()
+        # Callers' requests may be in progress here and run elsewhere.
         self._front.stop()
+        drained = self.gate.drain(deadline)
+        drained = self._inner.stop(deadline) and drained
         self.holder.stop()
-        self._inner.stop()
         self.connections.close()
         self.lag.stop()
         self._operator.stop()
@@ -147,7 +150,7 @@
             settings.inner.host,
             settings.inner.port,
             hello,
-            self.gate.serve,
+            self.gate,
             self._answer_aside,
         )
         self._front = webserver.WebServer(
@@ -176,9 +179,13 @@
             ),
         )
 
-    def _answer_aside(self, message: messages.Message) -> messages.Message | None:
+    def _answer_aside(
+        self, message: messages.Message, connection: register.Connection
+    ) -> messages.Message | None:
         answer = self.holder.publications.answer(message)
-        return self.gate.answer_aside(message) if answer is None else answer
+        if answer is not None:
+            return answer
+        return self.gate.answer_aside(message, connection)
 
     def _configure(self, configuration: models.Configuration) -> None:
         self.router.configure(configuration)
--- a/src/savoryhollow/library.py
+++ b/src/savoryhollow/library.py
@@ -23,6 +23,7 @@
 from savoryhollow.front import parsing
 from savoryhollow.membership import table
 from savoryhollow.observe import placements, requests
+from savoryhollow.recovery import register
 from savoryhollow.routing import peers, placement, router
 from savoryhollow.settings import models as settings_models
 from savoryhollow.store import client as store_client
@@ -191,10 +192,12 @@
     def serve(self, call: messages.CallMessage) -> messages.NotRunMessage:
         """Refuse a call."""
         reason = calls.NotRunReason.UNREACHABLE
-        nothing = messages.LoadReport(0, 0, 0, 0, True)
+        nothing = messages.LoadReport(0, 0, 1, 0, True)
         return messages.NotRunMessage(call.request_id, reason, 0, nothing)
 
-    def resolve(self, message: messages.ResolveMessage) -> messages.ResolutionMessage:
+    def resolve(
+        self, message: messages.ResolveMessage, connection: register.Connection | None
+    ) -> messages.ResolutionMessage:
         """Know nothing of a request."""
         state = messages.ResolutionState.FORGOTTEN
         return messages.ResolutionMessage(message.request_id, state)
--- a/tests/test_channel.py
+++ b/tests/test_channel.py
@@ -14,12 +14,13 @@
 def pair():
     """Return two channels that are connected to each other."""
     accepted = []
+
+    def greet():
+        accepted.append(channel.accept(listener.accept()[0])[0])
+        accepted[0].send(HELLO)
+
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        thread = threading.Thread(
-            target=lambda: accepted.append(
-                channel.accept(listener.accept()[0], HELLO)[0]
-            )
-        )
+        thread = threading.Thread(target=greet)
         thread.start()
         opened, _ = channel.connect(*listener.getsockname(), HELLO)
         thread.join()
