Measure latency, placement and the cost of measuring

One command runs every part on real processes and writes one JSON file; PARTS_BY_NAME is where further parts are added. The load generator keeps its processes between runs, as starting them took longer than most runs. The stand-in for a backend server no longer sleeps where a request takes no time.

The parts on placement have not been run yet.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the whole system, on real processes."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,48 @@
+"""Run the bench: ``python -m bench [--only NAME]``.
+
+A part is a function without arguments that returns a report; it is bounded in
+time, starts its own processes and stops them again.
+"""
+
+import argparse
+import collections.abc
+import pathlib
+import sys
+import time
+
+from bench import latency, measuring, placement, report
+
+__all__ = ["PARTS_BY_NAME", "main"]
+
+RESULTS = pathlib.Path(__file__).parent / "results" / "latest.json"
+
+Part = collections.abc.Callable[[], report.PartReport]
+
+PARTS_BY_NAME: dict[str, Part] = {
+    "latency": latency.run,
+    "measuring": measuring.run,
+    "placement": placement.run_two_regions,
+    "placement-one-region": placement.run_one_region,
+}
+
+
+def main() -> int:
+    """Run the parts asked for, print them and write them down.
+
+    :returns: the exit status; a missed target is printed, and is no failure.
+    """
+    parser = argparse.ArgumentParser(prog="bench", description=__doc__)
+    parser.add_argument("--only", choices=PARTS_BY_NAME, action="append")
+    parser.add_argument("--output", type=pathlib.Path, default=RESULTS)
+    options = parser.parse_args()
+    for name in options.only or PARTS_BY_NAME:
+        started = time.monotonic()
+        part = PARTS_BY_NAME[name]()
+        print(report.format_part(name, part))
+        print(f"{name} took {time.monotonic() - started:.0f} s\n", flush=True)
+        report.write_json(options.output, {name: part})
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/latency.py
@@ -0,0 +1,209 @@
+"""Latency that the system adds to a call.
+
+Three paths are taken in turn in one run: straight to a backend server, through
+the daemon beside it, and through the daemon of another instance.
+"""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import http.client
+import multiprocessing
+import threading
+import time
+
+import hdrh.histogram
+
+from bench import report
+from emulator import deployment, plans
+
+__all__ = ["run"]
+
+# Calls a second that each path takes.
+RATE = 59.0
+# How long calls are paced, in s.
+PACED_S = 15.0
+# Calls of each path that are made before any is counted.
+WARM_UP_CALLS = 100
+# How long each path is saturated at a time, in s, and how often.
+SATURATED_S = 1.5
+ROUNDS = 2
+# Processes that saturate a path, and callers in each.
+PROCESSES = 3
+CALLERS = 3
+# Range and precision of the histograms, in microseconds.
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 3
+# Added latency that is asked for, at the 99th percentile, in ms.
+TARGET_MS = 0.55
+PERCENTILES = (50, 99, 99.9)
+HEADERS = {
+    "Savoryhollow-Service": "near",
+    "Savoryhollow-Rank": "lookup",
+    "Savoryhollow-Deadline-Ms": "5000",
+}
+TIMEOUT_S = 10.0
+PATHS = ("direct", "local", "remote")
+
+FILES = {
+    "10.json": """{"services": {
+  "near": {"share": 0.5, "ranks": {"lookup": {"order": 0, "idempotent": true}}},
+  "far": {"share": 0.5, "ranks": {"lookup": {"order": 0, "idempotent": true}}}
+}}"""
+}
+PLAN = plans.DeploymentPlan(
+    name="latency",
+    regions=("east",),
+    zones_per_region=1,
+    services=(plans.ServicePlan("near", 1, 0.0), plans.ServicePlan("far", 1, 0.0)),
+    store_region="east",
+    files=FILES,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Path:
+    """One way to the backend server."""
+
+    name: str
+    host: str
+    port: int
+    headers: dict[str, str]
+
+
+def run() -> report.PartReport:
+    """Measure the added latency, paced and at saturation."""
+    with deployment.Deployment(PLAN) as running:
+        near = running.instances_by_id["near-0"]
+        far = running.instances_by_id["far-0"]
+        paths = [
+            _Path("direct", near.host, deployment.BACKEND_PORT, {}),
+            _Path("local", near.host, deployment.FRONT_PORT, HEADERS),
+            _Path("remote", far.host, deployment.FRONT_PORT, HEADERS),
+        ]
+        paced = _run_paced(paths)
+        saturated, rates = _run_saturated(paths)
+    rows = [*_rows("59/s", paced), *_rows("saturated", saturated, rates)]
+    columns = ("load", "path", "calls", "calls/s", "p50 ms", "p99 ms", "p99.9 ms")
+    added = ("added p50 ms", "added p99 ms")
+    return report.PartReport(
+        "latency added to a call, by path",
+        report.Table((*columns, *added), tuple(rows)),
+        tuple(_target(name, paced) for name in PATHS[1:]),
+        (
+            f"saturated: {PROCESSES * CALLERS} callers, each back to back",
+            "the paths share one backend server, and take turns",
+        ),
+    )
+
+
+# ---------------------------------------------------------------------------
+#   Paced calls
+# ---------------------------------------------------------------------------
+
+
+def _run_paced(paths: list[_Path]) -> dict[str, hdrh.histogram.HdrHistogram]:
+    histograms = {path.name: _histogram() for path in paths}
+    connections = {path.name: _connect(path) for path in paths}
+    for _ in range(WARM_UP_CALLS):
+        for path in paths:
+            _call(connections[path.name], path)
+    interval = 1 / (RATE * len(paths))
+    started = time.monotonic() + interval
+    for number in range(int(PACED_S / interval)):
+        path = paths[number % len(paths)]
+        at = started + number * interval
+        time.sleep(max(0.0, at - time.monotonic()))
+        _call(connections[path.name], path)
+        elapsed_us = int((time.monotonic() - at) * 1e6)
+        histograms[path.name].record_value(elapsed_us)
+    for connection in connections.values():
+        connection.close()
+    return histograms
+
+
+def _connect(path: _Path) -> http.client.HTTPConnection:
+    return http.client.HTTPConnection(path.host, path.port, timeout=TIMEOUT_S)
+
+
+def _call(connection: http.client.HTTPConnection, path: _Path) -> None:
+    connection.request("GET", "/work", headers=path.headers)
+    response = connection.getresponse()
+    response.read()
+    if response.status != 200:
+        raise deployment.DeploymentError(f"{path.name} gave {response.status}")
+
+
+def _histogram() -> hdrh.histogram.HdrHistogram:
+    return hdrh.histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+# ---------------------------------------------------------------------------
+#   Saturation
+# ---------------------------------------------------------------------------
+
+
+def _run_saturated(paths):
+    histograms = {path.name: _histogram() for path in paths}
+    context = multiprocessing.get_context("spawn")
+    with concurrent.futures.ProcessPoolExecutor(PROCESSES, context) as pool:
+        _each_process(pool, paths[0], 0.1)
+        for path in paths * ROUNDS:
+            for encoded in _each_process(pool, path, SATURATED_S):
+                found = hdrh.histogram.HdrHistogram.decode(encoded)
+                histograms[path.name].add(found)
+    seconds = SATURATED_S * ROUNDS
+    rates = {name: h.get_total_count() / seconds for name, h in histograms.items()}
+    return histograms, rates
+
+
+def _each_process(pool, path, duration_s) -> list[bytes]:
+    parts = [pool.submit(_saturate, path, duration_s) for _ in range(PROCESSES)]
+    return [part.result() for part in parts]
+
+
+def _saturate(path: _Path, duration_s: float) -> bytes:
+    histogram = _histogram()
+    lock = threading.Lock()
+    until = time.monotonic() + duration_s
+
+    def call_back_to_back() -> None:
+        connection = _connect(path)
+        while (started := time.monotonic()) < until:
+            _call(connection, path)
+            with lock:
+                histogram.record_value(int((time.monotonic() - started) * 1e6))
+        connection.close()
+
+    callers = [threading.Thread(target=call_back_to_back) for _ in range(CALLERS)]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    return histogram.encode()
+
+
+# ---------------------------------------------------------------------------
+#   Results
+# ---------------------------------------------------------------------------
+
+
+def _rows(
+    load: str, histograms, rates: dict[str, float] | None = None
+) -> collections.abc.Iterator[tuple[report.Cell, ...]]:
+    for name, histogram in histograms.items():
+        found = [_ms(histogram, percentile) for percentile in PERCENTILES]
+        direct = [_ms(histograms["direct"], p) for p in PERCENTILES]
+        rate = RATE if rates is None else rates[name]
+        added = (found[0] - direct[0], found[1] - direct[1])
+        yield (load, name, histogram.get_total_count(), rate, *found, *added)
+
+
+def _target(name: str, histograms) -> report.Target:
+    added = _ms(histograms[name], 99) - _ms(histograms["direct"], 99)
+    return report.Target(f"p99 added by the {name} path, ms", added, TARGET_MS)
+
+
+def _ms(histogram: hdrh.histogram.HdrHistogram, percentile: float) -> float:
+    return histogram.get_value_at_percentile(percentile) / 1000
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,88 @@
+"""What a part of the bench found, as a table and as JSON."""
+
+import json
+import pathlib
+import typing
+
+import msgspec
+
+__all__ = ["PartReport", "Table", "Target", "format_part", "write_json"]
+
+# Raised whenever a key of the JSON file changes its meaning or goes away.
+RESULTS_VERSION = 1
+# Digits after the point in the printed tables.
+DECIMALS = 2
+
+Cell: typing.TypeAlias = str | int | float
+
+
+class Table(msgspec.Struct, frozen=True):
+    """Figures by row; a column names its unit."""
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple[Cell, ...], ...]
+
+
+class Target(msgspec.Struct, frozen=True):
+    """A figure held against what is asked of it.
+
+    :param limit: the highest figure that meets the target.
+    """
+
+    text: str
+    measured: float
+    limit: float
+
+    @property
+    def met(self) -> bool:
+        """Whether the figure stays within its limit."""
+        return self.measured <= self.limit
+
+
+class PartReport(msgspec.Struct, frozen=True):
+    """What one part found.
+
+    :param notes: what a reader has to know to read the figures rightly.
+    """
+
+    title: str
+    table: Table
+    targets: tuple[Target, ...] = ()
+    notes: tuple[str, ...] = ()
+
+
+def format_part(name: str, part: PartReport) -> str:
+    """Return a part as text for a terminal."""
+    cells = [part.table.columns, *(_texts(row) for row in part.table.rows)]
+    widths = [max(len(row[i]) for row in cells) for i in range(len(cells[0]))]
+    lines = [f"== {name}: {part.title}"]
+    for row in cells:
+        padded = [text.rjust(w) for text, w in zip(row, widths, strict=True)]
+        lines.append("  ".join(padded).rstrip())
+    for target in part.targets:
+        word = "met   " if target.met else "MISSED"
+        lines.append(
+            f"{word} {target.text}: {target.measured:.2f}, limit {target.limit:.2f}"
+        )
+    lines.extend(f"note: {note}" for note in part.notes)
+    return "\n".join(lines) + "\n"
+
+
+def write_json(path: pathlib.Path, parts_by_name: dict[str, PartReport]) -> None:
+    """Write parts into a results file, keeping its other parts."""
+    document: dict[str, typing.Any] = {"version": RESULTS_VERSION, "parts": {}}
+    if path.exists():
+        known = json.loads(path.read_text())
+        if known.get("version") == RESULTS_VERSION:
+            document = known
+    for name, part in parts_by_name.items():
+        met = [target.met for target in part.targets]
+        document["parts"][name] = msgspec.to_builtins(part) | {"met": met}
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(document, indent=1) + "\n")
+
+
+def _texts(row: tuple[Cell, ...]) -> tuple[str, ...]:
+    return tuple(
+        f"{cell:.{DECIMALS}f}" if isinstance(cell, float) else str(cell) for cell in row
+    )
--- a/emulator/backend_server.py
+++ b/emulator/backend_server.py
@@ -85,7 +85,9 @@
             if fails:
                 return standin.answer_json({"error": "failed"}, 500)
             spread = 1 + state.spread * (2 * chance - 1)
-            time.sleep((state.service_ms * spread + state.noise_ms) / 1000)
+            run_s = (state.service_ms * spread + state.noise_ms) / 1000
+            if run_s > 0:
+                time.sleep(run_s)
         body = request_id.encode().ljust(state.answer_bytes, b".")
         return webserver.HttpAnswer(200, (calls.Header("X-Run", request_id),), body)
 
--- a/emulator/load.py
+++ b/emulator/load.py
@@ -17,14 +17,14 @@
 import urllib3.connection
 import urllib3.exceptions
 
-__all__ = ["LoadResult", "Stream", "run"]
+__all__ = ["LoadGenerator", "LoadResult", "Stream", "run"]
 
 # Range and precision of the histograms, in microseconds.
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
 DIGITS = 3
-# Time for the processes of a generator to start, in s.
-LEAD_S = 2.0
+# Time for the threads of every process to start, in s.
+LEAD_S = 0.5
 # Processes that a generator is spread over.
 PROCESSES = 4
 
@@ -96,6 +96,57 @@
     stream: Stream = dataclasses.field(compare=False)
 
 
+class LoadGenerator:
+    """Processes that send streams; a context manager.
+
+    They are kept from run to run, as one takes long to start.
+
+    :param workers: requests that can be open at one time.
+    :param processes: processes that share the streams, as one can't keep up.
+    """
+
+    def __init__(self, workers: int, processes: int = PROCESSES):
+        self._workers = workers // processes
+        self._processes = processes
+        context = multiprocessing.get_context("spawn")
+        self._pool = concurrent.futures.ProcessPoolExecutor(processes, context)
+
+    def __enter__(self) -> "LoadGenerator":
+        waits = [self._pool.submit(time.sleep, 0.2) for _ in range(self._processes)]
+        concurrent.futures.wait(waits)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._pool.shutdown()
+
+    def run(
+        self, streams: list[Stream], duration_s: float, seed: int
+    ) -> dict[str, LoadResult]:
+        """Send every stream for a while and return what became of it.
+
+        :param streams: the streams, all at one time.
+        :param duration_s: how long requests arrive, in s.
+        :param seed: the seed of the arrival instants.
+        :returns: the results by stream name.
+        """
+        shared = [
+            dataclasses.replace(stream, rate=stream.rate / self._processes)
+            for stream in streams
+        ]
+        started = time.monotonic() + LEAD_S
+        parts = [
+            self._pool.submit(
+                _run_part, shared, duration_s, self._workers, seed + n, started
+            )
+            for n in range(self._processes)
+        ]
+        results_by_name = parts[0].result()
+        for part in parts[1:]:
+            for name, result in part.result().items():
+                results_by_name[name].add(result)
+        return results_by_name
+
+
 def run(
     streams: list[Stream],
     duration_s: float,
@@ -103,32 +154,17 @@
     seed: int,
     processes: int = PROCESSES,
 ) -> dict[str, LoadResult]:
-    """Send every stream for a while and return what became of it.
+    """Send every stream once, with a generator of its own.
 
     :param streams: the streams, all at one time.
     :param duration_s: how long requests arrive, in s.
     :param workers: requests that can be open at one time.
     :param seed: the seed of the arrival instants.
-    :param processes: processes that share the streams, as one can't keep up.
+    :param processes: processes that share the streams.
     :returns: the results by stream name.
     """
-    shared = [
-        dataclasses.replace(stream, rate=stream.rate / processes) for stream in streams
-    ]
-    started = time.monotonic() + LEAD_S
-    context = multiprocessing.get_context("spawn")
-    with concurrent.futures.ProcessPoolExecutor(processes, context) as pool:
-        parts = [
-            pool.submit(
-                _run_part, shared, duration_s, workers // processes, seed + n, started
-            )
-            for n in range(processes)
-        ]
-        results_by_name = parts[0].result()
-        for part in parts[1:]:
-            for name, result in part.result().items():
-                results_by_name[name].add(result)
-    return results_by_name
+    with LoadGenerator(workers, processes) as generator:
+        return generator.run(streams, duration_s, seed)
 
 
 def _run_part(streams, duration_s, workers, seed, started) -> dict[str, LoadResult]:
