Place requests by the cost expected at each endpoint

The report of the local gate was as old as the last answer from here, the other endpoints were unknown, and the local endpoint was used until it was full.

Change: the local gate's report is read at each decision; a report counts the load of others only, ages, and gives way to the mean of the candidates; own requests are exact. A nearly full endpoint costs something before a request waits there. A slow endpoint costs what it takes beyond 1.5 times the median. A new incarnation and one trusted again get their part by degrees. What was measured before or across a pause of this process is dropped.

Property tests cover each decision.

--- a/emulator/load.py
+++ b/emulator/load.py
@@ -88,6 +88,19 @@
         """Return a percentile of the served requests' response times, in ms."""
         return self.histogram.get_value_at_percentile(percentile) / 1000
 
+    def percentile_of_sent_ms(self, percentile: float, unserved_ms: float) -> float:
+        """Return a percentile over all requests sent, in ms.
+
+        :param percentile: from 0 to 100.
+        :param unserved_ms: the time that a request not served counts for, in ms;
+            so a system can't better its tail by failing.
+        """
+        served = self.outcomes["served"]
+        rank = self.outcomes.total() * percentile / 100
+        if rank > served:
+            return unserved_ms
+        return self.percentile_ms(100 * rank / served) if served else 0.0
+
 
 @dataclasses.dataclass(order=True, slots=True)
 class _Arrival:
--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -50,6 +50,7 @@
 
     def start(self) -> None:
         """Open every port and begin to follow the platform."""
+        self.router.pauses.start()
         self._reader.start()
         self._inner.start()
         self._operator.start()
--- a/src/savoryhollow/routing/placement.py
+++ b/src/savoryhollow/routing/placement.py
@@ -7,18 +7,36 @@
 import dataclasses
 import itertools
 import random
+import statistics
 
 from savoryhollow.membership import table
+from savoryhollow.recovery import retrying
 from savoryhollow.routing import evidence as evidence_module
 
-__all__ = ["Candidate", "Policy", "Vantage", "make_policy"]
+__all__ = ["Candidate", "Placing", "Policy", "Vantage", "make_policy"]
 
 # Delay assumed for an endpoint in the same zone, another zone or region, in s.
 ZONE_DELAY_S = 0.0002
 REGION_DELAY_S = 0.001
 REMOTE_DELAY_S = 0.06
-# Candidates whose scores are compared.
+# Candidates of the own region, and of others, whose scores are compared.
 SAMPLE_SIZE = 2
+REMOTE_SAMPLE_SIZE = 1
+# Response time assumed where none is known, in s.
+FIRST_RESPONSE_S = 0.02
+# An endpoint is slow where its response time exceeds the usual one by this ratio.
+SLOW_RATIO = 1.5
+# What a failure costs the request that meets it, in s.
+FAILURE_COST_S = 1.0
+# Slots assumed where no report has come.
+FIRST_SLOTS = 4
+# Part of a response time that a full endpoint is held to cost before one waits.
+CROWDING = 0.1
+CROWDING_POWER = 4
+# Requests that may be spent on trying endpoints, per request.
+TRIAL_SHARE = 0.01
+# Backoffs that a request waits which had better not fail.
+RELUCTANT_PATIENCE = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,7 +56,20 @@
     evidence: evidence_module.EndpointEvidence
 
 
-Policy = collections.abc.Callable[[list[Candidate], float], Candidate]
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placing:
+    """One request that needs an endpoint.
+
+    :param now: the present instant.
+    :param expendable: whether its failure would cost little, so that it may
+        readily be used to try an endpoint again.
+    """
+
+    now: float
+    expendable: bool = False
+
+
+Policy = collections.abc.Callable[[list[Candidate], Placing], Candidate]
 
 
 def make_policy(name: str, vantage: Vantage, rng: random.Random) -> Policy:
@@ -50,11 +81,11 @@
     :returns: a function that chooses one of several candidates.
     """
     if name == "random":
-        return lambda candidates, now: rng.choice(candidates)
+        return lambda candidates, placing: rng.choice(candidates)
     if name == "round-robin":
         return _round_robin()
     if name == "least-in-flight":
-        return lambda candidates, now: min(
+        return lambda candidates, placing: min(
             rng.sample(candidates, len(candidates)), key=_in_flight
         )
     if name == "two-choices":
@@ -62,52 +93,151 @@
     return _by_evidence(vantage, rng)
 
 
-def expected_response(candidate: Candidate, vantage: Vantage, now: float) -> float:
-    """Return the response time to expect of an endpoint, in s."""
+# ---------------------------------------------------------------------------
+#   Evidence
+# ---------------------------------------------------------------------------
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usual:
+    """What is usual among the candidates; stands in where nothing is known.
+
+    :param response_s: the median response time, in s.
+    :param load_of_others: the mean load that other processes put on one.
+    """
+
+    response_s: float
+    load_of_others: float
+
+
+def usual(candidates: list[Candidate], now: float) -> Usual:
+    """Return what is usual among candidates."""
+    responses = [
+        c.evidence.response_s for c in candidates if c.evidence.response_s is not None
+    ]
+    loads = [
+        c.evidence.load_of_others()
+        for c in candidates
+        if c.evidence.fresh_report(now) is not None
+    ]
+    return Usual(
+        statistics.median_low(responses) if responses else FIRST_RESPONSE_S,
+        statistics.fmean(loads) if loads else 0.0,
+    )
+
+
+def expected_cost(
+    candidate: Candidate, vantage: Vantage, common: Usual, now: float
+) -> float:
+    """Return the time that a request would lose at an endpoint, in s.
+
+    It adds up the delay to get there, the wait for a slot, what a slow endpoint
+    takes beyond the usual, and what its failures cost.
+
+    :param candidate: the endpoint and its evidence.
+    :param vantage: where this process stands.
+    :param common: what is usual among the candidates.
+    :param now: the present instant.
+    """
     evidence = candidate.evidence
-    report = evidence.fresh_report(now)
-    delay = _delay(candidate.endpoint, vantage)
-    if report is None:
-        return delay + evidence.response_s * (1 + evidence.in_flight)
-    service_s = report.service_us / 1e6
-    ahead = max(report.busy + report.queued, evidence.in_flight)
-    waiting = max(0, ahead + 1 - report.slots)
-    return delay + service_s * (1 + waiting / report.slots) + 1e-6 * ahead
+    response_s = evidence.response_s or common.response_s
+    return (
+        _delay(candidate.endpoint, vantage)
+        + _wait(evidence, common, now)
+        + max(0.0, response_s - SLOW_RATIO * common.response_s)
+        + FAILURE_COST_S * evidence.failure_share
+    )
+
+
+def _wait(evidence, common: Usual, now: float) -> float:
+    weight = evidence.report_weight(now)
+    others = weight * evidence.load_of_others() + (1 - weight) * common.load_of_others
+    report = evidence.report
+    slots = FIRST_SLOTS if report is None else report.slots
+    slots = max(1.0, slots * evidence.warmth(now))
+    service_s = common.response_s if report is None else report.service_us / 1e6
+    ahead = evidence.in_flight + others
+    waiting = max(0.0, ahead + 1 - slots) / slots
+    crowding = CROWDING * min(1.0, ahead / slots) ** CROWDING_POWER
+    return service_s * (waiting + crowding)
 
 
 def _by_evidence(vantage: Vantage, rng: random.Random) -> Policy:
-    def choose(candidates: list[Candidate], now: float) -> Candidate:
-        sound = [c for c in candidates if c.evidence.failing_until <= now]
-        pool = sound or candidates
-        local = [c for c in pool if c.endpoint.endpoint_id == vantage.endpoint_id]
-        sample = rng.sample(pool, min(SAMPLE_SIZE, len(pool)))
-        return min(local + sample, key=lambda c: expected_response(c, vantage, now))
+    trials = retrying.RetryBudget(TRIAL_SHARE)
+
+    def choose(candidates: list[Candidate], placing: Placing) -> Candidate:
+        trials.deposit()
+        common = usual(candidates, placing.now)
+        tried = _to_try(candidates, vantage, common, placing)
+        if tried is not None and trials.withdraw():
+            return tried
+        pool = [c for c in candidates if c.evidence.trusted] or candidates
+        sample = _sample(pool, vantage, rng)
+        return min(sample, key=lambda c: expected_cost(c, vantage, common, placing.now))
 
     return choose
 
 
+def _sample(pool: list[Candidate], vantage: Vantage, rng) -> list[Candidate]:
+    own = [c for c in pool if c.endpoint.endpoint_id == vantage.endpoint_id]
+    near = [c for c in pool if c.endpoint.region == vantage.region]
+    far = [c for c in pool if c.endpoint.region != vantage.region]
+    return (
+        own
+        + rng.sample(near, min(SAMPLE_SIZE, len(near)))
+        + rng.sample(far, min(REMOTE_SAMPLE_SIZE, len(far)))
+    )
+
+
+def _to_try(candidates, vantage, common, placing) -> Candidate | None:
+    for candidate in candidates:
+        evidence = candidate.evidence
+        near = candidate.endpoint.region == vantage.region
+        eager = placing.expendable and near
+        patience = 0.0 if eager else RELUCTANT_PATIENCE
+        if evidence.trial_due(placing.now, patience):
+            return candidate
+        if eager and _is_slow_of_old(evidence, common, placing.now):
+            return candidate
+    return None
+
+
+def _is_slow_of_old(evidence, common: Usual, now: float) -> bool:
+    # Slow endpoints get no work, so none of it shows when they are well again.
+    if not evidence.trusted or evidence.in_flight or evidence.response_s is None:
+        return False
+    age = now - evidence.sampled_at
+    slow = evidence.response_s > SLOW_RATIO * common.response_s
+    return slow and age > evidence_module.EVIDENCE_LIMIT_S
+
+
+def _delay(endpoint: table.Endpoint, vantage: Vantage) -> float:
+    if endpoint.endpoint_id == vantage.endpoint_id:
+        return 0.0
+    if endpoint.region != vantage.region:
+        return REMOTE_DELAY_S
+    return ZONE_DELAY_S if endpoint.zone == vantage.zone else REGION_DELAY_S
+
+
+# ---------------------------------------------------------------------------
+#   Baselines
+# ---------------------------------------------------------------------------
+
+
 def _two_choices(rng: random.Random) -> Policy:
     def load(candidate: Candidate) -> int:
         report = candidate.evidence.report
         return 0 if report is None else report.busy + report.queued
 
-    return lambda candidates, now: min(
+    return lambda candidates, placing: min(
         rng.sample(candidates, min(SAMPLE_SIZE, len(candidates))), key=load
     )
 
 
 def _round_robin() -> Policy:
     turns = itertools.count()
-    return lambda candidates, now: candidates[next(turns) % len(candidates)]
+    return lambda candidates, placing: candidates[next(turns) % len(candidates)]
 
 
 def _in_flight(candidate: Candidate) -> int:
     return candidate.evidence.in_flight
-
-
-def _delay(endpoint: table.Endpoint, vantage: Vantage) -> float:
-    if endpoint.endpoint_id == vantage.endpoint_id:
-        return 0.0
-    if endpoint.region != vantage.region:
-        return REMOTE_DELAY_S
-    return ZONE_DELAY_S if endpoint.zone == vantage.zone else REGION_DELAY_S
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,142 @@
+import collections
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from savoryhollow.membership import table
+from savoryhollow.routing import evidence, placement
+from savoryhollow.wire import messages
+
+HERE = placement.Vantage("e0", "east", "east-a")
+INSTANTS = strategies.floats(0, 100)
+POLICIES = ("evidence", "random", "round-robin", "least-in-flight", "two-choices")
+
+
+def candidate(number=0, region="east", zone="east-a"):
+    endpoint = table.Endpoint(
+        f"e{number}", "s", region, zone, "127.0.0.1", 1, table.EndpointState.LIVE
+    )
+    return placement.Candidate(endpoint, evidence.EndpointEvidence())
+
+
+def loaded(found, busy, queued=0, now=0.0):
+    report = messages.LoadReport(busy, queued, 9, 40_000, False)
+    found.evidence.observe(report, now)
+    found.evidence.succeed(0.04, now)
+    return found
+
+
+def counts(candidates, now=0.0, calls=400, expendable=False):
+    choose = placement.make_policy("evidence", HERE, random.Random(7))
+    placing = placement.Placing(now, expendable)
+    chosen = [choose(candidates, placing) for _ in range(calls)]
+    return collections.Counter(c.endpoint.endpoint_id for c in chosen)
+
+
+@strategies.composite
+def any_candidates(draw):
+    found = []
+    for number in range(draw(strategies.integers(1, 12))):
+        region = draw(strategies.sampled_from(("east", "west")))
+        one = candidate(number, region, region + "-a")
+        for _ in range(draw(strategies.integers(0, 3))):
+            one.evidence.begin()
+        if draw(strategies.booleans()):
+            busy = draw(strategies.integers(0, 9))
+            loaded(one, busy, draw(strategies.integers(0, 64)))
+        for _ in range(draw(strategies.integers(0, 4))):
+            one.evidence.fail(0.0, reached=draw(strategies.booleans()))
+        found.append(one)
+    return found
+
+
+@hypothesis.given(
+    any_candidates(),
+    strategies.sampled_from(POLICIES),
+    INSTANTS,
+    strategies.booleans(),
+)
+def test_any_policy_chooses_one_of_the_candidates(found, name, now, expendable):
+    choose = placement.make_policy(name, HERE, random.Random(1))
+    assert choose(found, placement.Placing(now, expendable)) in found
+
+
+@hypothesis.given(any_candidates(), INSTANTS)
+def test_a_distrusted_endpoint_gets_no_work_beyond_trials(found, now):
+    hypothesis.assume(any(c.evidence.trusted for c in found))
+    chosen = placement.make_policy("evidence", HERE, random.Random(1))(
+        found, placement.Placing(now)
+    )
+    patience = placement.RELUCTANT_PATIENCE
+    assert chosen.evidence.trusted or chosen.evidence.trial_due(now, patience)
+
+
+@hypothesis.given(any_candidates(), INSTANTS, strategies.integers(0, 30))
+def test_more_of_its_own_requests_never_make_an_endpoint_cheaper(found, now, more):
+    common = placement.usual(found, now)
+    one = found[0]
+    before = placement.expected_cost(one, HERE, common, now)
+    for _ in range(more):
+        one.evidence.begin()
+    assert placement.expected_cost(one, HERE, common, now) >= before >= 0
+
+
+def test_an_idle_local_endpoint_is_preferred():
+    found = [loaded(candidate(n), 2) for n in range(5)]
+    assert counts(found)["e0"] == 400
+
+
+def test_a_full_local_endpoint_is_passed_over():
+    found = [loaded(candidate(0), 9, 4)] + [loaded(candidate(n), 2) for n in (1, 2, 3)]
+    assert counts(found)["e0"] == 0
+
+
+def test_the_link_is_crossed_only_where_that_gains_time():
+    near = loaded(candidate(1), 9, 5)
+    far = loaded(candidate(2, "west", "west-a"), 0)
+    assert counts([near, far])["e2"] == 0
+    near = loaded(candidate(1), 9, 40)
+    assert counts([near, far])["e2"] == 400
+
+
+def test_routers_that_hold_the_same_stale_report_do_not_all_choose_one():
+    found = [loaded(candidate(n), 6) for n in range(1, 9)]
+    loaded(found[0], 0)
+    chosen = collections.Counter()
+    for seed in range(300):
+        choose = placement.make_policy("evidence", HERE, random.Random(seed))
+        chosen[choose(found, placement.Placing(0.01)).endpoint.endpoint_id] += 1
+    assert chosen["e1"] < 120
+
+
+def test_requests_sent_since_a_report_count():
+    found = [loaded(candidate(n), 3) for n in (1, 2)]
+    for _ in range(8):
+        found[0].evidence.begin()
+    assert counts(found)["e1"] == 0
+
+
+def test_a_slow_endpoint_that_answers_every_request_is_passed_over():
+    found = [loaded(candidate(n), 1) for n in range(4)]
+    for _ in range(30):
+        found[0].evidence.succeed(0.2, 0.0)
+    assert counts(found)["e0"] == 0
+
+
+@pytest.mark.parametrize("expendable", [True, False])
+def test_a_slow_endpoint_is_tried_again_by_expendable_requests_alone(expendable):
+    found = [loaded(candidate(n), 1) for n in range(4)]
+    for _ in range(30):
+        found[0].evidence.succeed(0.2, 0.0)
+    for n in (1, 2, 3):
+        loaded(found[n], 1, now=10.0)
+    assert (counts(found, 10.0, expendable=expendable)["e0"] > 0) is expendable
+
+
+def test_trials_stay_within_their_share():
+    found = [loaded(candidate(n), 1) for n in range(4)]
+    while found[0].evidence.trusted:
+        found[0].evidence.fail(0.0, reached=True)
+    assert 0 < counts(found, 10.0, 2000, expendable=True)["e0"] <= 10 + 20
