Bound the attempts of a whole tree of calls

Cause: each router took the attempts left as its own limit and passed the same number on, and the gate told the backend server nothing, so nested calls began anew. Three attempts at each of 17 layers can make more than 10**8.

Change: a retry is either passed on with an attempt or kept by the router. On proof that an attempt was not run it comes back; otherwise what was passed on counts as spent. Only the outermost router keeps one for a lost answer, so one layer alone repeats work that may have run. The gate passes the depth and the attempts left on to the backend server. The retry budget takes a lock: its count was read and written by many threads.

An idempotent request that was used to try a distrusted endpoint, and met a failure there, is placed again.

Ruled out: halving what is left at each layer, which leaves nothing for the fourth layer of a tree that starts with 6; retries by the outermost layer alone, which lets one full queue 17 deep fail the whole tree.

The test that the backend server learns the two headers fails without the wrapper.

--- a/emulator/backend_server.py
+++ b/emulator/backend_server.py
@@ -89,7 +89,8 @@
             if run_s > 0:
                 time.sleep(run_s)
         body = request_id.encode().ljust(state.answer_bytes, b".")
-        return webserver.HttpAnswer(200, (calls.Header("X-Run", request_id),), body)
+        headers = (calls.Header("X-Run", request_id), *_seen(request))
+        return webserver.HttpAnswer(200, headers, body)
 
 
 def _request_id(request: webserver.HttpRequest) -> str:
@@ -99,6 +100,14 @@
     return calls.new_request_id()
 
 
+def _seen(request: webserver.HttpRequest) -> tuple[calls.Header, ...]:
+    return tuple(
+        calls.Header("X-Seen-" + header.name.title(), header.value)
+        for header in request.headers
+        if header.name.lower().startswith("savoryhollow-")
+    )
+
+
 def main() -> None:
     """Run the stand-in until it is told to stop."""
     settings = standin.read_settings(BackendSettings)
--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -14,7 +14,7 @@
 from savoryhollow.front import service as front_service
 from savoryhollow.membership import table
 from savoryhollow.observe import events, operator_port, placements
-from savoryhollow.recovery import register
+from savoryhollow.recovery import register, retrying
 from savoryhollow.routing import peers, placement, router
 from savoryhollow.settings import models as settings_models
 from savoryhollow.store import client as store_client
@@ -92,7 +92,8 @@
         )
         self._queue = queueing.AdmissionQueue(settings.slots, 0, {})
         self.outcomes = register.OutcomeRegister()
-        self.gate = gate_module.Gate(self._queue, self.outcomes, self._backend.run)
+        run_backend = retrying.pass_on_allowance(self._backend.run)
+        self.gate = gate_module.Gate(self._queue, self.outcomes, run_backend)
 
     def _build_router(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
--- a/src/savoryhollow/recovery/retrying.py
+++ b/src/savoryhollow/recovery/retrying.py
@@ -1,13 +1,37 @@
-"""Whether a request may be placed again, and how often."""
+"""Whether a request may be placed again, and how often.
+
+A call carries the attempts left for itself and for every call made beneath it.
+"""
+
+import collections.abc
+import dataclasses
+import threading
+import typing
 
 from savoryhollow import calls
+from savoryhollow.wire import messages
 
-__all__ = ["RETRY_AFTER_MS", "RetryBudget", "may_place_again"]
+__all__ = [
+    "RETRY_AFTER_MS",
+    "AttemptAllowance",
+    "RetryBudget",
+    "allow_attempts",
+    "may_place_again",
+    "pass_on_allowance",
+]
 
 # When a caller may come again if nothing better is known, in ms.
 RETRY_AFTER_MS = 200
 # Retries that may be saved up for a service.
 SAVED_RETRIES = 10.0
+# HTTP statuses from this one on are failures of the backend server.
+HTTP_FAILURE = 500
+# Headers that a backend server passes on with the calls that it makes.
+DEPTH_HEADER = "Savoryhollow-Depth"
+ATTEMPTS_LEFT_HEADER = "Savoryhollow-Attempts-Left"
+
+Answer = typing.TypeVar("Answer")
+RunBackend = collections.abc.Callable[[messages.CallMessage, float], Answer]
 
 
 class RetryBudget:
@@ -18,6 +42,7 @@
 
     def __init__(self, ratio: float):
         self.ratio = ratio
+        self._lock = threading.Lock()
         self._saved = SAVED_RETRIES
 
     @property
@@ -27,15 +52,90 @@
 
     def deposit(self) -> None:
         """Note a first attempt."""
-        self._saved = min(SAVED_RETRIES, self._saved + self.ratio)
+        with self._lock:
+            self._saved = min(SAVED_RETRIES, self._saved + self.ratio)
 
     def withdraw(self) -> bool:
         """Take one retry out, if there is one."""
-        if self._saved < 1.0:
-            return False
-        self._saved -= 1.0
-        return True
+        with self._lock:
+            if self._saved < 1.0:
+                return False
+            self._saved -= 1.0
+            return True
+
+
+# ---------------------------------------------------------------------------
+#   The attempts of a tree of calls
+# ---------------------------------------------------------------------------
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptAllowance:
+    """The retries that one call may still make or pass on.
+
+    A retry is either passed on with an attempt or kept here, never both. Where
+    an attempt is proved not run, nothing beneath it ran either, so what was
+    passed on comes back. Otherwise it counts as spent. Only the outermost call
+    keeps one retry for that case: so one layer alone repeats work that may have
+    run.
+
+    :param passed_on: retries that the next attempt carries.
+    :param kept: retries kept here.
+    """
+
+    passed_on: int
+    kept: int
+
+    @property
+    def attempts_left(self) -> int:
+        """The attempts that the next attempt carries, itself included."""
+        return 1 + self.passed_on
+
+    def take(self, outcome: calls.Outcome) -> bool:
+        """Take a retry out after an attempt, if there is one.
+
+        :param outcome: what the attempt came to.
+        :returns: whether another attempt may be made.
+        """
+        if not isinstance(outcome, calls.NotRun):
+            self.passed_on = 0
+        if self.passed_on > 0:
+            self.passed_on -= 1
+            return True
+        if self.kept > 0:
+            self.kept -= 1
+            return True
+        return False
+
+
+def allow_attempts(call: calls.Call) -> AttemptAllowance:
+    """Return the allowance with which a call starts."""
+    retries = max(0, call.attempts_left - 1)
+    kept = 1 if call.depth == 0 and call.idempotent and retries else 0
+    return AttemptAllowance(retries - kept, kept)
+
+
+def pass_on_allowance(run: RunBackend[Answer]) -> RunBackend[Answer]:
+    """Tell the backend server how deep it stands and what its calls may spend.
+
+    :param run: sends a call to the backend server by a deadline.
+    :returns: the same with the two headers added.
+    """
+
+    def run_with_allowance(call: messages.CallMessage, deadline: float) -> Answer:
+        headers = (
+            *call.headers,
+            calls.Header(DEPTH_HEADER, str(call.depth + 1)),
+            calls.Header(ATTEMPTS_LEFT_HEADER, str(call.attempts_left)),
+        )
+        return run(dataclasses.replace(call, headers=headers), deadline)
+
+    return run_with_allowance
+
 
+# ---------------------------------------------------------------------------
+#   One request
+# ---------------------------------------------------------------------------
 
 # Refusals that another endpoint may answer otherwise.
 _ELSEWHERE = frozenset(
@@ -50,19 +150,25 @@
 )
 
 
-def may_place_again(call: calls.Call, outcome: calls.Outcome, now: float) -> bool:
+def may_place_again(
+    call: calls.Call, outcome: calls.Outcome, now: float, *, trial: bool = False
+) -> bool:
     """Say whether a call may be placed on another endpoint.
 
     A request is placed again only on proof that it was not run, or where it is
-    idempotent.
+    idempotent. A failure that the backend server answers is the caller's to
+    judge, but for a trial: that risk was taken here.
 
     :param call: the call.
     :param outcome: what the last attempt came to.
     :param now: the present instant.
+    :param trial: whether the attempt went to an endpoint that isn't trusted.
     :returns: whether another attempt is allowed.
     """
     if now >= call.deadline:
         return False
     if isinstance(outcome, calls.NotRun):
         return outcome.reason in _ELSEWHERE
+    if isinstance(outcome, calls.Served):
+        return trial and call.idempotent and outcome.status >= HTTP_FAILURE
     return isinstance(outcome, calls.Unknown) and call.idempotent
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -16,8 +16,6 @@
 
 __all__ = ["Router"]
 
-# HTTP statuses from this one on are failures of the backend server.
-HTTP_FAILURE = 500
 # Time kept back for asking what became of a request, in s.
 RESOLVE_LIMIT_S = 1.0
 
@@ -108,18 +106,20 @@
             return _not_run(call, calls.NotRunReason.UNKNOWN_RANK)
         budget = self._budgets_by_service[call.service]
         budget.deposit()
-        limit = min(service.attempts, call.attempts_left)
+        allowance = retrying.allow_attempts(call)
         tried: set[str] = set()
         outcome: calls.Outcome = _not_run(call, calls.NotRunReason.NO_ENDPOINT)
-        for attempt in range(max(1, limit)):
-            if attempt and not budget.withdraw():
-                return outcome
+        for attempt in range(service.attempts):
             candidate = self._choose(call, tried)
             if candidate is None:
                 return outcome
+            trial = not candidate.evidence.trusted
             tried.add(candidate.endpoint.endpoint_id)
-            outcome = self._attempt(call, candidate, attempt)
-            if not retrying.may_place_again(call, outcome, time.monotonic()):
+            outcome = self._attempt(call, candidate, attempt, allowance)
+            now = time.monotonic()
+            if not retrying.may_place_again(call, outcome, now, trial=trial):
+                return outcome
+            if not (allowance.take(outcome) and budget.withdraw()):
                 return outcome
         return outcome
 
@@ -184,12 +184,12 @@
     #   One attempt
     # -----------------------------------------------------------------------
 
-    def _attempt(self, call, candidate, attempt) -> calls.Outcome:
+    def _attempt(self, call, candidate, attempt, allowance) -> calls.Outcome:
         endpoint = candidate.endpoint
         started = time.monotonic()
         # An id names one attempt, so that a bar at one gate bars no other.
         attempt_id = f"{call.request_id}.{attempt}"
-        message = _message(call, attempt_id, started)
+        message = _message(call, attempt_id, allowance.attempts_left, started)
         if self._is_local(endpoint):
             result = _Result(self._incarnation, self._local_gate.serve(message))
         else:
@@ -272,7 +272,7 @@
         now = time.monotonic()
         answer = result.answer
         served = isinstance(answer, messages.ServedMessage)
-        failed = served and answer.status >= HTTP_FAILURE
+        failed = served and answer.status >= retrying.HTTP_FAILURE
         report = getattr(answer, "load", None)
         known = candidate.evidence
         with self._lock:
@@ -292,7 +292,9 @@
     return calls.NotRun(call.request_id, reason, retrying.RETRY_AFTER_MS)
 
 
-def _message(call: calls.Call, attempt_id: str, now: float) -> messages.CallMessage:
+def _message(
+    call: calls.Call, attempt_id: str, attempts_left: int, now: float
+) -> messages.CallMessage:
     return messages.CallMessage(
         request_id=attempt_id,
         service=call.service,
@@ -301,7 +303,7 @@
         remaining_us=max(0, int((call.deadline - now) * 1e6)),
         idempotent=call.idempotent,
         depth=call.depth,
-        attempts_left=call.attempts_left,
+        attempts_left=attempts_left,
         method=call.method,
         path=call.path,
         headers=call.headers,
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -56,6 +56,17 @@
         assert sum(r.get(request_id + ".0", 0) for r in runs) == 1
 
 
+@pytest.mark.parametrize("idempotent, left", [("false", "9"), ("true", "8")])
+def test_the_backend_server_learns_what_its_calls_may_spend(running, idempotent, left):
+    named = {"service": "dispatch", "rank": "lookup", "idempotent": idempotent}
+    answer = ask(running, attempts_left="9", **named)
+    assert answer.headers["X-Seen-Savoryhollow-Depth"] == "1"
+    assert answer.headers["X-Seen-Savoryhollow-Attempts-Left"] == left
+    nested = ask(running, attempts_left="9", depth="1", **named)
+    assert nested.headers["X-Seen-Savoryhollow-Depth"] == "2"
+    assert nested.headers["X-Seen-Savoryhollow-Attempts-Left"] == "9"
+
+
 def test_an_unknown_service_is_refused_as_not_run(running):
     answer = ask(running, service="nothing", rank="lookup")
     assert answer.status == 503
