Bring endpoints back after a single failure

Cause: a smoothed share of failures was charged to the expected cost. One failed answer (share 0.3, charged 0.3 s) kept every further request away from an endpoint that still counted as trusted, so no trial ever reached it.

The slow start of an endpoint also counted the usual load as its own, and so kept it from any work until the ramp was over.

Change: failures decide on trust alone. The ramp counts what is known to run at the endpoint.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -17,6 +17,8 @@
 LOAD_S = 2.5
 SETTLE_S = 0.6
 DEADLINE_MS = 2000
+# Limit for every slot to be free again once all answers have come, in s.
+REST_LIMIT_S = 4.0
 # Requests open at one time, and the processes that send them.
 WORKERS = 300
 PROCESSES = 3
@@ -61,6 +63,7 @@
 
 def _run(plan: plans.DeploymentPlan) -> report.PartReport:
     cells: dict[tuple[str, str, str], _Cell] = {}
+    stuck: list[str] = []
     with contextlib.ExitStack() as stack:
         running_by_policy = {
             policy: stack.enter_context(deployment.Deployment(plan, placement=policy))
@@ -72,6 +75,7 @@
             for policy in POLICIES[turn:] + POLICIES[:turn]:
                 running = running_by_policy[policy]
                 results = _measure(running, generator, fault)
+                stuck += [f"{case}, {policy}: {text}" for text in _stuck(running)]
                 for rank, cell in _cells(running, results).items():
                     cells[case, policy, rank] = cell
     columns = ("case", "policy", "rank", "p50 ms", "p99 ms", "p99.9 ms", "success")
@@ -83,6 +87,7 @@
         (
             "times from the intended start; a request that is not served counts"
             f" {DEADLINE_MS} ms, its deadline",
+            *(stuck or ["every gate was at rest after each run"]),
         ),
     )
 
@@ -103,6 +108,20 @@
     return results
 
 
+def _stuck(running: deployment.Deployment) -> list[str]:
+    deadline = time.monotonic() + REST_LIMIT_S
+    while True:
+        loads_by_id = {
+            endpoint_id: running.dump(instance)["load"]
+            for endpoint_id, instance in running.instances_by_id.items()
+        }
+        busy_by_id = {i: v["busy"] + v["queued"] for i, v in loads_by_id.items()}
+        if not any(busy_by_id.values()) or time.monotonic() > deadline:
+            break
+        time.sleep(0.1)
+    return [f"{i} is left with {n} requests" for i, n in busy_by_id.items() if n]
+
+
 def _streams(running: deployment.Deployment) -> list[load.Stream]:
     planned = running.plan.services[0]
     capacity = planned.endpoints * running.plan.slots * 1000 / planned.service_ms
--- a/src/savoryhollow/routing/placement.py
+++ b/src/savoryhollow/routing/placement.py
@@ -26,8 +26,6 @@
 FIRST_RESPONSE_S = 0.02
 # An endpoint is slow where its response time exceeds the usual one by this ratio.
 SLOW_RATIO = 1.5
-# What a failure costs the request that meets it, in s.
-FAILURE_COST_S = 1.0
 # Slots assumed where no report has come.
 FIRST_SLOTS = 4
 # Part of a response time that a full endpoint is held to cost before one waits.
@@ -131,8 +129,9 @@
 ) -> float:
     """Return the time that a request would lose at an endpoint, in s.
 
-    It adds up the delay to get there, the wait for a slot, what a slow endpoint
-    takes beyond the usual, and what its failures cost.
+    It adds up the delay to get there, the wait for a slot, and what a slow endpoint
+    takes beyond the usual. Failures are no part of it: an endpoint is trusted or
+    not, as one that is merely shunned would never be tried again.
 
     :param candidate: the endpoint and its evidence.
     :param vantage: where this process stands.
@@ -145,21 +144,20 @@
         _delay(candidate.endpoint, vantage)
         + _wait(evidence, common, now)
         + max(0.0, response_s - SLOW_RATIO * common.response_s)
-        + FAILURE_COST_S * evidence.failure_share
     )
 
 
 def _wait(evidence, common: Usual, now: float) -> float:
     weight = evidence.report_weight(now)
-    others = weight * evidence.load_of_others() + (1 - weight) * common.load_of_others
+    reported = evidence.in_flight + weight * evidence.load_of_others()
+    ahead = reported + (1 - weight) * common.load_of_others
     report = evidence.report
     slots = FIRST_SLOTS if report is None else report.slots
-    slots = max(1.0, slots * evidence.warmth(now))
     service_s = common.response_s if report is None else report.service_us / 1e6
-    ahead = evidence.in_flight + others
     waiting = max(0.0, ahead + 1 - slots) / slots
     crowding = CROWDING * min(1.0, ahead / slots) ** CROWDING_POWER
-    return service_s * (waiting + crowding)
+    coldness = (1 - evidence.warmth(now)) * reported / slots
+    return service_s * (waiting + crowding + coldness)
 
 
 def _by_evidence(vantage: Vantage, rng: random.Random) -> Policy:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -140,3 +140,68 @@
     while found[0].evidence.trusted:
         found[0].evidence.fail(0.0, reached=True)
     assert 0 < counts(found, 10.0, 2000, expendable=True)["e0"] <= 10 + 20
+
+
+def test_a_single_failure_does_not_keep_work_away():
+    found = [loaded(candidate(n), 2) for n in (1, 2)]
+    found[0].evidence.fail(0.0, reached=True)
+    assert found[0].evidence.trusted
+    assert counts(found)["e1"] > 100
+
+
+class Replay:
+    """One router that places requests on endpoints of which one misbehaves."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.found = [loaded(candidate(n), 2) for n in range(1, 6)]
+        self.choose = placement.make_policy("evidence", HERE, self.rng)
+        self.now = 0.0
+        self.open = []
+
+    def run(self, seconds, response_s, fails):
+        """Return the share of the misbehaving endpoint and its failures."""
+        until = self.now + seconds
+        chosen = failed = total = 0
+        while self.now < until:
+            self.now += self.rng.expovariate(100)
+            self.close_ended()
+            expendable = self.rng.random() < 0.5
+            one = self.choose(self.found, placement.Placing(self.now, expendable))
+            one.evidence.begin()
+            faulty = one is self.found[0]
+            total += 1
+            chosen += faulty
+            failed += faulty and fails
+            took = response_s if faulty else 0.04
+            self.open.append((self.now + took, one, faulty and fails, took))
+        return chosen / total, failed
+
+    def close_ended(self):
+        for item in [item for item in self.open if item[0] <= self.now]:
+            self.open.remove(item)
+            at, one, failed, took = item
+            one.evidence.end()
+            one.evidence.observe(messages.LoadReport(3, 0, 9, 40_000, False), at)
+            if failed:
+                one.evidence.fail(at, reached=True)
+            else:
+                one.evidence.succeed(took, at)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_failing_endpoint_is_left_and_comes_back(seed):
+    replay = Replay(seed)
+    assert replay.run(3, 0.04, fails=False)[0] > 0.1
+    assert replay.run(10, 0.001, fails=True)[1] < 20
+    replay.run(10, 0.04, fails=False)
+    assert replay.run(3, 0.04, fails=False)[0] > 0.1
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_slow_endpoint_is_left_and_comes_back(seed):
+    replay = Replay(seed)
+    replay.run(3, 0.04, fails=False)
+    assert replay.run(10, 0.4, fails=False)[0] < 0.05
+    replay.run(5, 0.04, fails=False)
+    assert replay.run(3, 0.04, fails=False)[0] > 0.1
