--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -4,7 +4,9 @@
 held by an open socket, so that deployments side by side never meet.
 """
 
+import atexit
 import dataclasses
+import itertools
 import json
 import pathlib
 import signal
@@ -72,10 +74,12 @@
         self._placement = placement
         self._daemon_settings = daemon_settings
         self._folder = tempfile.TemporaryDirectory(prefix="savoryhollow-")
-        self._lock_socket, self._subnet = _take_subnet()
+        endpoints = sum(service.endpoints for service in plan.services)
+        self._lock_socket, self._subnet = _take_subnet(endpoints, len(plan.regions))
         self._http = urllib3.PoolManager(maxsize=4, retries=False)
         self.instances_by_id = self._lay_out()
         self.processes_by_name: dict[str, subprocess.Popen] = {}
+        atexit.register(self._kill)
 
     def __enter__(self) -> "Deployment":
         self.start()
@@ -141,6 +145,11 @@
         self._folder.cleanup()
         return statuses
 
+    def _kill(self) -> None:
+        """Leave nothing behind where this process ends without a stop."""
+        for process in self.processes_by_name.values():
+            process.kill()
+
     def await_ready(self, instance: Instance, deadline: float) -> None:
         """Wait until a daemon has a configuration and a list in force."""
         while time.monotonic() < deadline:
@@ -321,11 +330,13 @@
     return {"host": host, "port": port, "to_host": to_host, "to_port": port}
 
 
-def _take_subnet() -> tuple[socket.socket, int]:
+def _take_subnet(instances: int, regions: int) -> tuple[socket.socket, int]:
     for subnet in range(10, 250):
         held = socket.socket()
         try:
             held.bind((f"127.{subnet}.200.1", LOCK_PORT))
+            # Processes of a deployment that was killed may still listen there.
+            _check_free(subnet, instances, regions)
         except OSError:
             held.close()
             continue
@@ -333,6 +344,19 @@
     raise DeploymentError("no subnet is free; stop other deployments")
 
 
+def _check_free(subnet: int, instances: int, regions: int) -> None:
+    for region, number in itertools.product(range(regions), range(1, instances + 1)):
+        for port in (FRONT_PORT, INNER_PORT, OPERATOR_PORT, BACKEND_PORT):
+            with socket.create_server((f"127.{subnet}.{region}.{number}", port)):
+                pass
+    for host, port in ((f"127.{subnet}.90.1", STORE_PORT),) + tuple(
+        (f"127.{subnet}.100.{number + 10}", INNER_PORT)
+        for number in range(1, instances + 1)
+    ):
+        with socket.create_server((host, port)):
+            pass
+
+
 def _wait(process: subprocess.Popen) -> int:
     try:
         return process.wait(STOP_LIMIT_S)
--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -22,7 +22,7 @@
     runs,
     vitals,
 )
-from savoryhollow.recovery import register
+from savoryhollow.recovery import register, retrying
 from savoryhollow.routing import peers, placement, router
 from savoryhollow.settings import models as settings_models
 from savoryhollow.store import client as store_client
@@ -67,6 +67,7 @@
 
     def start(self) -> None:
         """Open every port and begin to follow the platform."""
+        self.router.pauses.start()
         self._inner.start()
         self.holder.start()
         self._operator.start()
@@ -97,6 +98,7 @@
         self.holder.stop()
         self.connections.close()
         self.lag.stop()
+        self.router.pauses.stop()
         self._operator.stop()
         self._backend.close()
         events.emit(events.Event.DAEMON_STOPPED, drained=drained)
@@ -113,7 +115,8 @@
         )
         self._queue = queueing.AdmissionQueue(settings.slots, 0, {})
         self.outcomes = register.OutcomeRegister()
-        run = self.runs.observe(run_backend or self._backend.run)
+        passed_on = retrying.pass_on_allowance(run_backend or self._backend.run)
+        run = self.runs.observe(passed_on)
         self.gate = gate_module.Gate(self._queue, self.outcomes, run)
 
     def _build_router(self, hello: messages.HelloMessage) -> None:
--- a/src/savoryhollow/library.py
+++ b/src/savoryhollow/library.py
@@ -139,11 +139,13 @@
 
     def start(self) -> None:
         """Begin to follow the platform."""
+        self._router.pauses.start()
         self._follower.start()
 
     def stop(self) -> None:
         """Close every connection; calls in progress end as unknown."""
         self._follower.stop()
+        self._router.pauses.stop()
         self._connections.close()
 
     def await_ready(self, deadline: float) -> bool:
@@ -192,8 +194,7 @@
     def serve(self, call: messages.CallMessage) -> messages.NotRunMessage:
         """Refuse a call."""
         reason = calls.NotRunReason.UNREACHABLE
-        nothing = messages.LoadReport(0, 0, 1, 0, True)
-        return messages.NotRunMessage(call.request_id, reason, 0, nothing)
+        return messages.NotRunMessage(call.request_id, reason, 0, self.report())
 
     def resolve(
         self, message: messages.ResolveMessage, connection: register.Connection | None
@@ -202,6 +203,10 @@
         state = messages.ResolutionState.FORGOTTEN
         return messages.ResolutionMessage(message.request_id, state)
 
+    def report(self) -> messages.LoadReport:
+        """Report that no call is taken here."""
+        return messages.LoadReport(0, 0, 1, 0, True)
+
 
 # ---------------------------------------------------------------------------
 #   Daemon
--- a/src/savoryhollow/observe/placements.py
+++ b/src/savoryhollow/observe/placements.py
@@ -54,8 +54,8 @@
 class Choice:
     """What was known of an endpoint when it was chosen.
 
-    :param expected_ms: the response time expected there, which is what the
-        policy ``evidence`` compares.
+    :param expected_ms: the time that the request was expected to lose there,
+        which is what the policy ``evidence`` compares.
     :param in_flight: requests that this router had open there, this one too.
     :param busy: slots in use by its last report; None without a fresh one.
     :param queued: requests waiting by its last report; None without one.
--- a/src/savoryhollow/routing/reasons.py
+++ b/src/savoryhollow/routing/reasons.py
@@ -9,23 +9,29 @@
 
 
 def explain(
-    candidate: placement.Candidate, vantage: placement.Vantage, now: float
+    candidate: placement.Candidate,
+    candidates: list[placement.Candidate],
+    vantage: placement.Vantage,
+    now: float,
 ) -> placements.Choice:
     """Return what was known of an endpoint when it was chosen.
 
     :param candidate: the endpoint, its evidence with this request noted.
+    :param candidates: the endpoints that it was chosen from.
     :param vantage: where this process stands.
     :param now: the instant of the choice.
-    :returns: the evidence, and the response time that followed from it.
+    :returns: the evidence, and the cost that followed from it.
     """
     evidence = candidate.evidence
     report = evidence.fresh_report(now)
     age_s = now - evidence.reported_at
+    common = placement.usual(candidates, now)
+    cost_s = placement.expected_cost(candidate, vantage, common, now)
     return placements.Choice(
-        expected_ms=placement.expected_response(candidate, vantage, now) * 1e3,
+        expected_ms=cost_s * 1e3,
         in_flight=evidence.in_flight,
         busy=None if report is None else report.busy,
         queued=None if report is None else report.queued,
         evidence_age_ms=age_s * 1e3 if math.isfinite(age_s) else None,
-        failing=evidence.failing_until > now,
+        failing=not evidence.trusted,
     )
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -11,7 +11,7 @@
 from savoryhollow.membership import table
 from savoryhollow.observe import placements
 from savoryhollow.recovery import register, retrying
-from savoryhollow.routing import evidence, peers, placement, reasons
+from savoryhollow.routing import evidence, pauses, peers, placement, reasons
 from savoryhollow.wire import exchange, messages
 
 __all__ = ["LocalGate", "Router"]
@@ -34,6 +34,24 @@
     ) -> messages.ResolutionMessage:
         """Say what became of a request; a call of this process has no connection."""
 
+    def report(self) -> messages.LoadReport:
+        """Return the load as it is now."""
+
+
+# Refusals that say nothing against an endpoint; its load report tells the rest.
+_REFUSALS = frozenset(calls.NotRunReason) - {
+    calls.NotRunReason.UNREACHABLE,
+    calls.NotRunReason.LEAVING,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Chosen:
+    """The endpoint of one attempt and why it was chosen."""
+
+    candidate: placement.Candidate
+    choice: placements.Choice
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Result:
@@ -84,6 +102,7 @@
         self._record = record
         self._lock = threading.Lock()
         self._evidence_by_id: dict[str, evidence.EndpointEvidence] = {}
+        self.pauses = pauses.PauseDetector(time.monotonic())
         self._budgets_by_service: dict[str, retrying.RetryBudget] = {}
         self._configuration = models.Configuration({})
 
@@ -123,18 +142,20 @@
             return _not_run(call, calls.NotRunReason.UNKNOWN_RANK)
         budget = self._budgets_by_service[call.service]
         budget.deposit()
-        limit = min(service.attempts, call.attempts_left)
+        allowance = retrying.allow_attempts(call)
         tried: set[str] = set()
         outcome: calls.Outcome = _not_run(call, calls.NotRunReason.NO_ENDPOINT)
-        for attempt in range(max(1, limit)):
-            if attempt and not budget.withdraw():
+        for attempt in range(service.attempts):
+            chosen = self._choose(call, tried)
+            if chosen is None:
                 return outcome
-            candidate = self._choose(call, tried)
-            if candidate is None:
+            trial = not chosen.candidate.evidence.trusted
+            tried.add(chosen.candidate.endpoint.endpoint_id)
+            outcome = self._attempt(call, chosen, attempt, allowance)
+            now = time.monotonic()
+            if not retrying.may_place_again(call, outcome, now, trial=trial):
                 return outcome
-            tried.add(candidate.endpoint.endpoint_id)
-            outcome = self._attempt(call, candidate, attempt)
-            if not retrying.may_place_again(call, outcome, time.monotonic()):
+            if not (allowance.take(outcome) and budget.withdraw()):
                 return outcome
         return outcome
 
@@ -171,7 +192,7 @@
                 return endpoint
         return None
 
-    def _choose(self, call, tried) -> placement.Candidate | None:
+    def _choose(self, call, tried) -> _Chosen | None:
         now = time.monotonic()
         with self._lock:
             candidates = [
@@ -182,9 +203,25 @@
             ]
             if not candidates:
                 return None
-            candidate = self._policy(candidates, now)
+            self._refresh(candidates, now)
+            candidate = self._policy(candidates, self._placing(call, now))
             candidate.evidence.begin()
-            return candidate
+            choice = reasons.explain(candidate, candidates, self._vantage, now)
+            return _Chosen(candidate, choice)
+
+    def _refresh(self, candidates, now: float) -> None:
+        for candidate in candidates:
+            if self._is_local(candidate.endpoint):
+                candidate.evidence.observe(self._local_gate.report(), now)
+            elif self.pauses.paused_since(candidate.evidence.reported_at, now):
+                candidate.evidence.forget()
+
+    def _placing(self, call: calls.Call, now: float) -> placement.Placing:
+        ranks = self._configuration.services[call.service].ranks
+        first = min(rank.order for rank in ranks.values())
+        last = max(rank.order for rank in ranks.values())
+        urgent = first != last and ranks[call.rank].order == first
+        return placement.Placing(now, call.idempotent and not urgent)
 
     def _evidence(self, endpoint_id: str) -> evidence.EndpointEvidence:
         return self._evidence_by_id.setdefault(endpoint_id, evidence.EndpointEvidence())
@@ -193,13 +230,13 @@
     #   One attempt
     # -----------------------------------------------------------------------
 
-    def _attempt(self, call, candidate, attempt) -> calls.Outcome:
+    def _attempt(self, call, chosen, attempt, allowance) -> calls.Outcome:
+        candidate = chosen.candidate
         endpoint = candidate.endpoint
         started = time.monotonic()
-        choice = reasons.explain(candidate, self._vantage, started)
         # An id names one attempt, so that a bar at one gate bars no other.
         attempt_id = f"{call.request_id}.{attempt}"
-        message = _message(call, attempt_id, started)
+        message = _message(call, attempt_id, allowance.attempts_left, started)
         if self._is_local(endpoint):
             origin = calls.Origin(self._incarnation, 0, 0)
             answer = self._local_gate.serve(message)
@@ -224,7 +261,7 @@
                 crossed_region=endpoint.region != self._vantage.region,
                 request_bytes=len(call.body),
                 answer_bytes=len(getattr(outcome, "body", b"")),
-                choice=choice,
+                choice=chosen.choice,
             )
         )
         return outcome
@@ -316,13 +353,21 @@
     def _learn(self, candidate, result, started) -> None:
         now = time.monotonic()
         answer = result.answer
-        served = isinstance(answer, messages.ServedMessage) and answer.status < 500
+        served = isinstance(answer, messages.ServedMessage)
+        failed = served and answer.status >= retrying.HTTP_FAILURE
         report = getattr(answer, "load", None)
+        known = candidate.evidence
         with self._lock:
-            candidate.evidence.end(report, now - started if served else None, now)
-            refused = isinstance(answer, messages.NotRunMessage)
-            if not served and not refused:
-                candidate.evidence.fail(now)
+            known.end()
+            known.meet(result.incarnation, now)
+            if self.pauses.paused_since(started, now):
+                return
+            if report is not None:
+                known.observe(report, now)
+            if served and not failed:
+                known.succeed(now - started, now)
+            elif getattr(answer, "reason", None) not in _REFUSALS:
+                known.fail(now, reached=served)
 
 
 def _is_settled(answer: exchange.Answer) -> bool:
@@ -335,7 +380,9 @@
     return calls.NotRun(call.request_id, reason, retrying.RETRY_AFTER_MS)
 
 
-def _message(call: calls.Call, attempt_id: str, now: float) -> messages.CallMessage:
+def _message(
+    call: calls.Call, attempt_id: str, attempts_left: int, now: float
+) -> messages.CallMessage:
     return messages.CallMessage(
         request_id=attempt_id,
         service=call.service,
@@ -344,7 +391,7 @@
         remaining_us=max(0, int((call.deadline - now) * 1e6)),
         idempotent=call.idempotent,
         depth=call.depth,
-        attempts_left=call.attempts_left,
+        attempts_left=attempts_left,
         method=call.method,
         path=call.path,
         headers=call.headers,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,8 @@
 """What every test shares: fixed seeds, and the tests known to be red."""
 
 import pathlib
+import signal
+import sys
 
 import hypothesis
 import pytest
@@ -10,6 +12,9 @@
 )
 hypothesis.settings.load_profile("fixed")
 
+# An ordinary exit, so that no process of a deployment is left behind.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit("told to stop"))
+
 ROOT = pathlib.Path(__file__).parent.parent
 
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -208,4 +208,4 @@
     shown = dump._evidence(held)
     assert len(shown) == dump.MAX_ENTRIES
     assert "e-8799" in shown
-    assert shown["e-8799"]["failing_until"] is None
+    assert shown["e-8799"]["trial_at"] is None
