--- /dev/null
+++ b/bench/silence.py
@@ -0,0 +1,155 @@
+"""How long a request takes whose connection has gone silent, and what it costs."""
+
+import concurrent.futures
+import json
+import statistics
+import sys
+import time
+
+import urllib3
+
+from emulator import deployment, plans
+from savoryhollow.wire import channel, exchange, messages, server
+
+# Rounds in which the open connections go silent, and bookings open in each.
+ROUNDS = 10
+BOOKINGS = 4
+DEADLINE_MS = 3000
+# How long a booking runs in the measurement of bytes, in ms.
+SHORT_MS = 50
+LONG_MS = 2050
+# Limit for the list to arrive, in s.
+LIMIT_S = 10.0
+
+RANKS = {"booking": {"order": 0}}
+PLAN = plans.DeploymentPlan(
+    name="silence",
+    regions=("east", "west"),
+    zones_per_region=1,
+    services=(plans.ServicePlan("dispatch", 2, 20.0),),
+    store_region="east",
+    files={
+        "10.json": json.dumps({"services": {"dispatch": {"share": 1, "ranks": RANKS}}})
+    },
+    delay_ms=5.0,
+)
+
+
+def main() -> int:
+    """Measure and print.
+
+    :returns: the exit status.
+    """
+    with deployment.Deployment(PLAN) as running:
+        _list_leaving(running)
+        near = running.instances_by_id["dispatch-0"]
+        url = running.front_url(near) + "/work"
+        _ask(url)
+        _print_recovery(running, url)
+    _print_bytes()
+    return 0
+
+
+def _list_leaving(running: deployment.Deployment) -> None:
+    listed = {r: running.listing(r, dispatch_0="leaving") for r in PLAN.regions}
+    running.control_platform(instances_by_region=listed, list_revision=2)
+    until = time.monotonic() + LIMIT_S
+    for instance in running.instances_by_id.values():
+        while running.dump(instance)["list_revision"] < 2:
+            if time.monotonic() > until:
+                raise TimeoutError("the list did not arrive")
+            time.sleep(0.05)
+
+
+def _ask(url: str) -> tuple[str, float]:
+    headers = {
+        "Savoryhollow-Service": "dispatch",
+        "Savoryhollow-Rank": "booking",
+        "Savoryhollow-Deadline-Ms": str(DEADLINE_MS),
+    }
+    started = time.monotonic()
+    got = urllib3.request("POST", url, headers=headers, retries=False)
+    return got.headers["Savoryhollow-Outcome"], time.monotonic() - started
+
+
+def _print_recovery(running: deployment.Deployment, url: str) -> None:
+    times_ms = []
+    outcomes: dict[str, int] = {}
+    far = running.instances_by_id["dispatch-1"]
+    running.control_backend(far, service_ms=100, spread=0.0)
+    with concurrent.futures.ThreadPoolExecutor(BOOKINGS) as pool:
+        for number in range(ROUNDS):
+            # Half of the rounds go silent before the calls, half under them.
+            under = number % 2 == 1
+            if not under:
+                _silence(running)
+            asked = [pool.submit(_ask, url) for _ in range(BOOKINGS)]
+            if under:
+                time.sleep(0.05)
+                _silence(running)
+            for answer in asked:
+                outcome, took_s = answer.result()
+                outcomes[outcome] = outcomes.get(outcome, 0) + 1
+                times_ms.append(took_s * 1000)
+            _ask(url)
+    print(f"silent connections, {ROUNDS} rounds of {BOOKINGS} bookings of 100 ms:")
+    print(f"  outcomes: {outcomes}")
+    print(f"  answered after: median {statistics.median(times_ms):.0f} ms", end=", ")
+    print(f"longest {max(times_ms):.0f} ms")
+
+
+def _silence(running: deployment.Deployment) -> None:
+    connections = running.control_link()["connections"]
+    running.control_link(silent_before=connections)
+
+
+# ---------------------------------------------------------------------------
+#   Bytes
+# ---------------------------------------------------------------------------
+
+
+class _SlowService:
+    """Serves every call after a time that the path tells in ms."""
+
+    def open_connection(self, session, number, close):
+        return None
+
+    def close_connection(self, connection):
+        return None
+
+    def stop_accepting(self, connection):
+        return None
+
+    def begin(self, call, connection):
+        load = messages.LoadReport(0, 0, 1, 0, False)
+
+        def serve():
+            time.sleep(int(call.path) / 1000)
+            return messages.ServedMessage(call.request_id, 200, (), b"", load)
+
+        return serve
+
+
+def _print_bytes() -> None:
+    hello = messages.HelloMessage(messages.PROTOCOL_VERSION, "bench", "0", 1)
+    listening = server.InnerServer(
+        "127.0.0.1", 0, hello, _SlowService(), lambda message, connection: None
+    )
+    listening.start()
+    opened, peer = channel.connect("127.0.0.1", listening.port, hello)
+    router = exchange.Exchange(opened, hello, peer)
+    used = []
+    for wait_ms in (SHORT_MS, LONG_MS):
+        fields = ("r", "s", "k", "c", 1, False, 0, 1, "GET", f"{wait_ms:04}", (), b"")
+        before = router.bytes_total
+        router.request(messages.CallMessage(*fields), time.monotonic() + LIMIT_S)
+        used.append(router.bytes_total - before)
+    opened.close()
+    listening.stop(time.monotonic() + LIMIT_S)
+    rate = (used[1] - used[0]) * 1000 / (LONG_MS - SHORT_MS)
+    print(f"one call with nothing to ping for: {used[0]} bytes")
+    print(f"pings while a call runs, both ways: {rate:.0f} bytes a second")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
