--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -10,7 +10,7 @@
 from savoryhollow.configuration import models
 from savoryhollow.membership import table
 from savoryhollow.observe import placements
-from savoryhollow.recovery import retrying
+from savoryhollow.recovery import register, retrying
 from savoryhollow.routing import evidence, peers, placement, reasons
 from savoryhollow.wire import exchange, messages
 
@@ -29,8 +29,10 @@
     def serve(self, call: messages.CallMessage) -> exchange.Answer:
         """Run a call, or say truthfully what happened."""
 
-    def resolve(self, message: messages.ResolveMessage) -> messages.ResolutionMessage:
-        """Say what became of a request."""
+    def resolve(
+        self, message: messages.ResolveMessage, connection: register.Connection | None
+    ) -> messages.ResolutionMessage:
+        """Say what became of a request; a call of this process has no connection."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -7,6 +7,9 @@
 import dataclasses
 import enum
 import typing
+from typing import Annotated
+
+import msgspec
 
 from savoryhollow import calls
 
@@ -31,6 +34,8 @@
     "UnknownMessage",
 ]
 
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
 # Raised whenever a message changes in a way that an older peer can't read.
 PROTOCOL_VERSION = 2
 
@@ -42,10 +47,10 @@
     :param service_us: smoothed time that a request holds a slot.
     """
 
-    busy: int
-    queued: int
-    slots: int
-    service_us: int
+    busy: Count
+    queued: Count
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    service_us: Count
     leaving: bool
 
 
