--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -5,8 +5,8 @@
 
 import pytest
 import pytest_bdd
+import pytest_bdd.parsers
 import scenario_world
-from pytest_bdd import parsers
 
 pytest_bdd.scenarios("features")
 
@@ -36,7 +36,7 @@
 
 
 def given(text):
-    return pytest_bdd.step(parsers.parse(text))
+    return pytest_bdd.step(pytest_bdd.parsers.parse(text))
 
 
 # ----------------------------------------------------------------------
