--- a/src/savoryhollow/admission/gate.py
+++ b/src/savoryhollow/admission/gate.py
@@ -201,7 +201,9 @@
         return None
 
     def resolve(
-        self, message: messages.ResolveMessage, connection: register.Connection | None
+        self,
+        message: messages.ResolveMessage,
+        connection: register.Connection | None,
     ) -> messages.ResolutionMessage:
         """Say what became of a request; one that never arrived never will.
 
--- a/src/savoryhollow/daemon/process.py
+++ b/src/savoryhollow/daemon/process.py
@@ -1,13 +1,12 @@
 """Run a daemon until it is told to stop."""
 
 import gc
+import logging
 import os
 import pathlib
 import signal
 import threading
 
-from absl import logging
-
 from savoryhollow import errors
 from savoryhollow.daemon import assembly
 from savoryhollow.observe import events
@@ -53,7 +52,7 @@
         return 0
     if not drained:
         events.emit(events.Event.DAEMON_STOPPED, drained=False)
-    logging.flush()
+    logging.shutdown()
     # A thread that is still in a request would hold up an ordinary exit.
     os._exit(1)
 
--- a/src/savoryhollow/recovery/retrying.py
+++ b/src/savoryhollow/recovery/retrying.py
@@ -16,6 +16,7 @@
     "AttemptAllowance",
     "RetryBudget",
     "allow_attempts",
+    "combine",
     "may_place_again",
     "pass_on_allowance",
 ]
@@ -172,3 +173,16 @@
     if isinstance(outcome, calls.Served):
         return trial and call.idempotent and outcome.status >= HTTP_FAILURE
     return isinstance(outcome, calls.Unknown) and call.idempotent
+
+
+def combine(earlier: calls.Outcome | None, latest: calls.Outcome) -> calls.Outcome:
+    """Return what a caller is told after one more attempt.
+
+    :param earlier: what the attempts before came to; None before the first.
+    :param latest: what the last attempt came to.
+    :returns: the latest; but where it was not run and an earlier one may have
+        been, that earlier one.
+    """
+    if earlier is None or not isinstance(latest, calls.NotRun):
+        return latest
+    return latest if isinstance(earlier, calls.NotRun) else earlier
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -151,11 +151,12 @@
                 return outcome
             trial = not chosen.candidate.evidence.trusted
             tried.add(chosen.candidate.endpoint.endpoint_id)
-            outcome = self._attempt(call, chosen, attempt, allowance)
+            latest = self._attempt(call, chosen, attempt, allowance)
+            outcome = retrying.combine(outcome if attempt else None, latest)
             now = time.monotonic()
-            if not retrying.may_place_again(call, outcome, now, trial=trial):
+            if not retrying.may_place_again(call, latest, now, trial=trial):
                 return outcome
-            if not (allowance.take(outcome) and budget.withdraw()):
+            if not (allowance.take(latest) and budget.withdraw()):
                 return outcome
         return outcome
 
--- a/tests/scenario_world.py
+++ b/tests/scenario_world.py
@@ -37,6 +37,7 @@
     request_id: str
     ticket: str
     body: bytes
+    status: int
 
 
 class World:
@@ -49,6 +50,8 @@
         self.deployment.start()
         self.pool = concurrent.futures.ThreadPoolExecutor(64)
         self.bookings = []
+        self.streams = []
+        self.came_by_id = {}
         self.coming = threading.Event()
         self.list_revision = 1
 
@@ -78,19 +81,28 @@
             "POST", url, headers=headers, retries=False, timeout=LIMIT_S + 10
         )
         named = (f"Savoryhollow-{name}" for name in ("Outcome", "Request-Id", "Ticket"))
-        return Answer(*(got.headers.get(name, "") for name in named), got.data)
+        return Answer(
+            *(got.headers.get(name, "") for name in named), got.data, got.status
+        )
 
     def send(self, endpoint_id, deadline_ms=1500):
         self.bookings.append(self.pool.submit(self.ask, endpoint_id, deadline_ms))
 
     def keep_sending(self, endpoint_id):
+        came = self.came_by_id.setdefault(endpoint_id, [])
+
         def send_all():
-            answers = []
             while not self.coming.wait(0.01):
-                answers.append(self.ask(endpoint_id))
-            return answers
+                came.append(self.ask(endpoint_id))
 
-        return [self.pool.submit(send_all) for _ in range(4)]
+        self.streams += [self.pool.submit(send_all) for _ in range(4)]
+
+    def stop_sending(self):
+        """Return every answer that came, once the last has come."""
+        self.coming.set()
+        for stream in self.streams:
+            stream.result(LIMIT_S)
+        return [answer for came in self.came_by_id.values() for answer in came]
 
     def answers(self):
         return [booking.result(LIMIT_S + 10) for booking in self.bookings]
