--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the whole system, on real processes."""
+"""Measurements of the project; each module is a command of its own."""
--- a/src/savoryhollow/library.py
+++ b/src/savoryhollow/library.py
@@ -25,8 +25,7 @@
 from savoryhollow.observe import placements, requests
 from savoryhollow.routing import peers, placement, router
 from savoryhollow.settings import models as settings_models
-from savoryhollow.store import client as store_client
-from savoryhollow.store import reader
+from savoryhollow.store import following
 from savoryhollow.wire import messages
 
 __all__ = ["EmbeddedDaemon", "EmbeddedRouter", "Request", "RouterSettings", "Run"]
@@ -87,6 +86,11 @@
     placement: str = "evidence"
     placement_records: int = 1024
 
+    @property
+    def endpoint_id(self) -> str:
+        """The name by which other daemons know this process."""
+        return self.name
+
 
 # ---------------------------------------------------------------------------
 #   Router
@@ -120,11 +124,8 @@
             placement.make_policy(settings.placement, vantage, random.Random()),
             self.placements.add,
         )
-        store = settings.store
-        self._reader = reader.StoreReader(
-            store_client.StoreClient(store.host, store.port, settings.region),
-            reader.ConfigurationHolder(self._router.configure),
-            self._members,
+        self._follower = following.Follower(
+            settings, hello, self._members, self._router.configure
         )
 
     def __enter__(self) -> "EmbeddedRouter":
@@ -136,11 +137,11 @@
 
     def start(self) -> None:
         """Begin to follow the platform."""
-        self._reader.start()
+        self._follower.start()
 
     def stop(self) -> None:
         """Close every connection; calls in progress end as unknown."""
-        self._reader.stop()
+        self._follower.stop()
         self._connections.close()
 
     def await_ready(self, deadline: float) -> bool:
--- a/src/savoryhollow/observe/metrics.py
+++ b/src/savoryhollow/observe/metrics.py
@@ -48,7 +48,11 @@
     link_bytes_by_region: dict[str, int]
     revision: int
     list_revision: int
+    known_endpoints: int
     platform_calls: int
+    platform_bytes: int
+    relay_bytes: int
+    is_reader: bool
     suppressed_by_event: dict[str, int]
     vitals: vitals.Vitals
     lag_s: float
@@ -216,6 +220,16 @@
         "Calls to the platform, a watch counted as one.",
         [({}, snapshot.platform_calls)],
     )
+    page.counter(
+        "platform_bytes_total",
+        "Bytes read from the platform.",
+        [({}, snapshot.platform_bytes)],
+    )
+    page.counter(
+        "relay_bytes_total",
+        "Bytes exchanged with neighbours to pass on what the platform publishes.",
+        [({}, snapshot.relay_bytes)],
+    )
 
 
 def _add_process(page: _Page, snapshot: MetricsSnapshot) -> None:
@@ -229,6 +243,16 @@
         "The revision of the list of instances in use.",
         [({}, snapshot.list_revision)],
     )
+    page.gauge(
+        "known_endpoints",
+        "Endpoints in that list.",
+        [({}, snapshot.known_endpoints)],
+    )
+    page.gauge(
+        "store_reader",
+        "1 where the daemon reads the store for its zone.",
+        [({}, int(snapshot.is_reader))],
+    )
     page.counter(
         "events_suppressed_total",
         "Repeated events that were counted and not logged.",
