Tell a missing folder and a port without a number from other faults

Cause: check on a folder that doesn't exist said that services are required, and dump on a word without a port tried to resolve it and said that no daemon could be reached.

Change: what is no folder is named as such (status 1); an operator port that is no HOST:PORT is a wrong use (status 2). Tests give the command texts of every broken kind and expect a verdict each time.

--- a/src/savoryhollow/cli/main.py
+++ b/src/savoryhollow/cli/main.py
@@ -20,6 +20,7 @@
 # Exit statuses; 2 is a wrong use of the command.
 REJECTED = 1
 UNREACHABLE = 3
+MAX_PORT = 65535
 # Clears a terminal and goes to its top left corner.
 CLEAR = "\x1b[2J\x1b[H"
 
@@ -34,9 +35,22 @@
 )
 
 Folder = Annotated[pathlib.Path, typer.Argument(help="A folder of JSON files.")]
-Operator = Annotated[str, typer.Argument(help="Operator port, as HOST:PORT.")]
+
+
+def _operator(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    numbered = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    if not host or not numbered or "/" in host:
+        raise typer.BadParameter(f"{text!r} is no HOST:PORT, such as 127.0.0.1:7082")
+    return text
+
+
+Operator = Annotated[
+    str, typer.Argument(parser=_operator, help="Operator port, as HOST:PORT.")
+]
 Operators = Annotated[
-    list[str], typer.Argument(help="Operator ports, each as HOST:PORT.")
+    list[str],
+    typer.Argument(parser=_operator, help="Operator ports, each as HOST:PORT."),
 ]
 AsJson = Annotated[bool, typer.Option("--json", help="Print JSON for a program.")]
 
--- a/src/savoryhollow/configuration/merging.py
+++ b/src/savoryhollow/configuration/merging.py
@@ -42,6 +42,9 @@
     :returns: the texts by file name.
     :raises errors.ConfigurationError: where the folder can't be read.
     """
+    if not folder.is_dir():
+        remedy = "name a folder of JSON files"
+        raise errors.ConfigurationError([errors.Problem(str(folder), "$", "-", remedy)])
     try:
         return {path.name: path.read_text() for path in sorted(folder.glob("*.json"))}
     except (OSError, UnicodeDecodeError) as error:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -98,9 +98,34 @@
         assert shown.stdout == ""
 
 
+def test_what_is_no_folder_is_exit_status_1(tmp_path):
+    for path in (tmp_path / "missing", __file__):
+        shown = run("check", path)
+        assert shown.exit_code == main.REJECTED
+        assert "name a folder" in shown.stderr
+
+
+def test_any_text_in_a_folder_ends_in_a_verdict(tmp_path):
+    texts = ["", "{", "[]", "null", '{"services": 3}', '{"services": {"a": 3}}']
+    texts += ["\ufeff{}", '{"a": NaN}', '{"a": 1, "a": 2}', "[" * 5000]
+    for number, text in enumerate(texts):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        (folder / "10.json").write_text(text)
+        for arguments in (["check", folder], ["explain", folder, "services"]):
+            shown = run(*arguments)
+            assert isinstance(shown.exception, SystemExit), text
+            assert shown.exit_code == main.REJECTED
+            assert "10.json" in shown.stderr or "folder" in shown.stderr
+
+
 def test_wrong_usage_is_exit_status_2():
     assert run("check").exit_code == 2
     assert run("nonsense").exit_code == 2
+    for operator in ("host", "host:", ":1", "host:99999", "http://host:1", "host:x"):
+        shown = run("dump", operator)
+        assert shown.exit_code == 2, operator
+        assert "HOST:PORT" in shown.stderr
 
 
 def test_rejected_settings_are_exit_status_1(tmp_path):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -95,6 +95,12 @@
             assert f"\n{target}:" in makefile, f"{page.name}: {target}"
 
 
+def test_the_developers_page_has_every_package():
+    page = (ROOT / "docs" / "DEVELOPERS.md").read_text()
+    for path in (ROOT / "src" / "savoryhollow").glob("*/__init__.py"):
+        assert f"`{path.parent.name}`" in page, path.parent.name
+
+
 def test_the_readme_has_every_header_and_no_other():
     text = (ROOT / "README.md").read_text()
     told = set(re.findall(r"`(Savoryhollow-[A-Za-z-]*[a-z])`", text))
