--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -25,7 +25,8 @@
 from savoryhollow.recovery import register
 from savoryhollow.routing import peers, placement, router
 from savoryhollow.settings import models as settings_models
-from savoryhollow.store import following
+from savoryhollow.store import client as store_client
+from savoryhollow.store import following, topology
 from savoryhollow.wire import messages, server
 
 __all__ = ["Daemon"]
@@ -131,10 +132,14 @@
         self.route = self.requests.observe(self.router.route)
 
     def _build_store(self, hello: messages.HelloMessage) -> None:
+        settings = self.settings
+        self.store = store_client.StoreClient(
+            settings.store.host, settings.store.port, settings.region
+        )
+        place = topology.Place(settings.endpoint_id, settings.region, settings.zone)
         self.holder = following.Follower(
-            self.settings, hello, self.members, self._configure
+            place, self.store, hello, self.members, self._configure
         )
-        self.store = self.holder.store
 
     def _build_ports(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
--- a/src/savoryhollow/library.py
+++ b/src/savoryhollow/library.py
@@ -25,7 +25,8 @@
 from savoryhollow.observe import placements, requests
 from savoryhollow.routing import peers, placement, router
 from savoryhollow.settings import models as settings_models
-from savoryhollow.store import following
+from savoryhollow.store import client as store_client
+from savoryhollow.store import following, topology
 from savoryhollow.wire import messages
 
 __all__ = ["EmbeddedDaemon", "EmbeddedRouter", "Request", "RouterSettings", "Run"]
@@ -86,11 +87,6 @@
     placement: str = "evidence"
     placement_records: int = 1024
 
-    @property
-    def endpoint_id(self) -> str:
-        """The name by which other daemons know this process."""
-        return self.name
-
 
 # ---------------------------------------------------------------------------
 #   Router
@@ -124,8 +120,13 @@
             placement.make_policy(settings.placement, vantage, random.Random()),
             self.placements.add,
         )
+        store = settings.store
         self._follower = following.Follower(
-            settings, hello, self._members, self._router.configure
+            topology.Place(settings.name, settings.region, settings.zone),
+            store_client.StoreClient(store.host, store.port, settings.region),
+            hello,
+            self._members,
+            self._router.configure,
         )
 
     def __enter__(self) -> "EmbeddedRouter":
--- a/src/savoryhollow/settings/validation.py
+++ b/src/savoryhollow/settings/validation.py
@@ -184,10 +184,6 @@
     return converted
 
 
-def _is_annotated(model: typing.Any) -> bool:
-    return typing.get_origin(model) is typing.Annotated
-
-
 @functools.cache
 def _fields_by_name(model: type) -> dict[str, _Field]:
     hints = typing.get_type_hints(model, include_extras=True)
@@ -197,6 +193,10 @@
     }
 
 
+def _is_annotated(model: typing.Any) -> bool:
+    return typing.get_origin(model) is typing.Annotated
+
+
 def _is_struct(model: typing.Any) -> bool:
     return isinstance(model, type) and issubclass(model, msgspec.Struct)
 
--- a/src/savoryhollow/store/following.py
+++ b/src/savoryhollow/store/following.py
@@ -1,13 +1,11 @@
-"""Everything by which one daemon follows what the platform publishes."""
+"""Everything by which one process follows what the platform publishes."""
 
 import time
-import typing
 
 from savoryhollow import errors
 from savoryhollow.configuration import acceptance, models
 from savoryhollow.membership import table
 from savoryhollow.observe import events
-from savoryhollow.settings import models as settings_models
 from savoryhollow.store import (
     client,
     documents,
@@ -19,33 +17,14 @@
 )
 from savoryhollow.wire import messages
 
-__all__ = ["Follower", "FollowerSettings"]
-
-
-class FollowerSettings(typing.Protocol):
-    """The part of a process's settings by which it follows the platform."""
-
-    @property
-    def endpoint_id(self) -> str:
-        """The name of the process."""
-
-    @property
-    def region(self) -> str:
-        """Its region."""
-
-    @property
-    def zone(self) -> str:
-        """Its availability zone."""
-
-    @property
-    def store(self) -> settings_models.Target:
-        """Where the platform's configuration service is."""
+__all__ = ["Follower"]
 
 
 class Follower:
     """Follows the configuration and the list of instances.
 
-    :param settings: where the process stands, and where the platform is.
+    :param place: where this process stands.
+    :param store: reads the platform's service.
     :param hello: the greeting of this process.
     :param members: takes the lists in.
     :param apply: called with each configuration that is put in force.
@@ -53,17 +32,16 @@
 
     def __init__(
         self,
-        settings: FollowerSettings,
+        place: topology.Place,
+        store: client.StoreClient,
         hello: messages.HelloMessage,
         members: table.MemberTable,
         apply,
     ):
-        self._place = topology.Place(
-            settings.endpoint_id, settings.region, settings.zone
-        )
+        self._place = place
         self._members = members
         self._apply = apply
-        self._list_topic = publications.list_topic(settings.region)
+        self._list_topic = publications.list_topic(place.region)
         self._is_reader = False
         self._neighbours: tuple[table.Endpoint, ...] = ()
         self._listed = -1
@@ -75,9 +53,7 @@
                 documents.Replica(self._list_topic, self._accept_list),
             )
         )
-        self.store = client.StoreClient(
-            settings.store.host, settings.store.port, settings.region
-        )
+        self.store = store
         self._trust = trust.StoreTrust(time.monotonic())
         self._reader = reader.StoreReader(
             self.store, self.publications, self._trust, self._list_topic
