Break long lines, so that every answer fits 60 columns

Cause: a trace or a folder with names of up to 64 characters overran a narrow terminal. Change: lines are broken with an indent, and nothing is cut off.

--- a/bench/embedding.py
+++ b/bench/embedding.py
@@ -11,7 +11,7 @@
 import time
 
 from emulator import deployment, plans
-from savoryhollow import calls, library
+from savoryhollow import calls, errors, library
 from savoryhollow.settings import models
 
 ROUNDS = 1500
@@ -23,6 +23,10 @@
 Way = collections.abc.Callable[[], None]
 
 
+class NotServedError(errors.SavoryhollowError):
+    """A call was not served, so its time says nothing."""
+
+
 def main() -> None:
     """Run the measurement and print it."""
     services = tuple(
@@ -77,7 +81,7 @@
         answer = connection.getresponse()
         answer.read()
         if answer.status != 200:
-            raise RuntimeError(f"status {answer.status}; run it again")
+            raise NotServedError(f"status {answer.status}; run it again")
 
     return call
 
@@ -86,7 +90,7 @@
     deadline = time.monotonic() + LIMIT_S
     outcome = router.call(library.Request("dispatch", "lookup", deadline, path="/work"))
     if not isinstance(outcome, calls.Served):
-        raise RuntimeError(f"{outcome}; run it again")
+        raise NotServedError(f"{outcome}; run it again")
 
 
 if __name__ == "__main__":
--- a/src/savoryhollow/cli/inspecting.py
+++ b/src/savoryhollow/cli/inspecting.py
@@ -4,13 +4,11 @@
 import json
 import typing
 
+from savoryhollow.cli import columns
 from savoryhollow.configuration import inspection
 
 __all__ = ["change_lines", "explanation_lines", "setting_lines"]
 
-# Columns of a narrow terminal.
-WIDTH = 60
-
 
 def setting_lines(
     settings: collections.abc.Iterable[inspection.Setting],
@@ -45,13 +43,13 @@
 
 
 def _fit(left: str, right: str) -> list[str]:
-    if len(left) + len(right) + 2 <= WIDTH:
-        return [f"{left}{right:>{WIDTH - len(left)}}"]
-    return [left, f"{right:>{WIDTH}}"]
+    if len(left) + len(right) + 2 <= columns.WIDTH:
+        return [f"{left}{right:>{columns.WIDTH - len(left)}}"]
+    return [left, f"{right:>{columns.WIDTH}}"]
 
 
 def _cut(text: str) -> str:
-    return text if len(text) <= WIDTH else f"{text[: WIDTH - 3]}..."
+    return text if len(text) <= columns.WIDTH else f"{text[: columns.WIDTH - 3]}..."
 
 
 def _json(value: typing.Any) -> str:
--- a/src/savoryhollow/cli/main.py
+++ b/src/savoryhollow/cli/main.py
@@ -11,7 +11,14 @@
 import typer
 
 from savoryhollow import errors
-from savoryhollow.cli import asking, inspecting, ranking, reference, tracing
+from savoryhollow.cli import (
+    asking,
+    columns,
+    inspecting,
+    ranking,
+    reference,
+    tracing,
+)
 from savoryhollow.configuration import inspection, merging
 from savoryhollow.daemon import process
 
@@ -211,7 +218,7 @@
     if as_json:
         typer.echo(json.dumps(value, default=dataclasses.asdict, indent=2))
     else:
-        typer.echo("\n".join(lines))
+        typer.echo("\n".join(columns.fit(lines)))
 
 
 def _report(gathered: asking.Gathered) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,13 +4,15 @@
 import subprocess
 import sys
 
+import hypothesis
 import pytest
 import typer.testing
 import urllib3
+from hypothesis import strategies
 
 from emulator import deployment, plans
-from savoryhollow.cli import main, ranking
-from savoryhollow.observe import requests
+from savoryhollow.cli import asking, columns, main, ranking, tracing
+from savoryhollow.observe import placements, requests
 
 SERVICES = {
     "services": {
@@ -169,6 +171,22 @@
     assert row(2, 1).percentile_s(50) == requests.BUCKETS_S[0]
 
 
+NAMES = strategies.text("abcxyz-.019", min_size=1, max_size=64)
+
+
+@hypothesis.given(NAMES, NAMES, NAMES, strategies.floats(0, 1e6))
+def test_a_trace_of_any_names_fits_a_narrow_terminal(request_id, name, region, ms):
+    choice = placements.Choice(ms, 1, 2, 3, ms, True)
+    placed = placements.PlacementRecord(
+        request_id, name, name, 0, name, region, "unknown", ms, 1.0, choice=choice
+    )
+    reply = asking.TraceReply(name, "evidence", [placed], [], [])
+    lines = tracing.lines(tracing.join(request_id, [reply]))
+    fitted = columns.fit(lines)
+    assert narrow("\n".join(fitted))
+    assert "".join("".join(fitted).split()) == "".join("".join(lines).split())
+
+
 # ---------------------------------------------------------------------------
 #   Running daemons
 # ---------------------------------------------------------------------------
