--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -7,6 +7,9 @@
 import dataclasses
 import enum
 import typing
+from typing import Annotated
+
+import msgspec
 
 from savoryhollow import calls
 
@@ -16,6 +19,7 @@
     "CompareMessage",
     "DocumentText",
     "DocumentVersion",
+    "GoAwayMessage",
     "HelloMessage",
     "LoadReport",
     "Message",
@@ -30,8 +34,10 @@
     "UnknownMessage",
 ]
 
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
 # Raised whenever a message changes in a way that an older peer can't read.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,20 +47,25 @@
     :param service_us: smoothed time that a request holds a slot.
     """
 
-    busy: int
-    queued: int
-    slots: int
-    service_us: int
+    busy: Count
+    queued: Count
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    service_us: Count
     leaving: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HelloMessage:
-    """The first message on a connection, sent by both ends."""
+    """The first message on a connection, sent by both ends.
+
+    :param connection: numbers the connections that this incarnation opened; 0
+        from the end that accepts.
+    """
 
     version: int
     endpoint_id: str
     incarnation: str
+    connection: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,9 +125,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResolveMessage:
-    """Asks what became of a request, and bars it if it never started."""
+    """Asks what became of a request, and bars it if it never started.
+
+    :param origin: where the request entered the inner protocol.
+    """
 
     request_id: str
+    origin: calls.Origin
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GoAwayMessage:
+    """No call after the one numbered here was or will be accepted.
+
+    :param last_number: the last call accepted on this connection.
+    """
+
+    last_number: int
 
 
 class ResolutionState(enum.StrEnum):
@@ -211,4 +236,5 @@
     | ResolutionMessage
     | CompareMessage
     | RelayMessage
+    | GoAwayMessage
 )
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -3,9 +3,20 @@
 import pytest
 from hypothesis import strategies
 
-from savoryhollow import errors
+from savoryhollow import calls, errors
 from savoryhollow.wire import codec, messages
 
+COUNTS = strategies.integers(0, 2**40)
+strategies.register_type_strategy(
+    messages.LoadReport,
+    strategies.builds(
+        messages.LoadReport,
+        busy=COUNTS,
+        queued=COUNTS,
+        slots=strategies.integers(1, 2**40),
+        service_us=COUNTS,
+    ),
+)
 MESSAGES = strategies.one_of(
     *(strategies.from_type(cls) for cls in codec.KINDS_BY_CLASS)
 )
@@ -41,3 +52,11 @@
     data = cbor2.dumps([codec.KINDS_BY_CLASS[messages.CancelMessage], "id", 1])
     with pytest.raises(errors.MalformedMessageError, match="matching versions"):
         codec.decode(data)
+
+
+@pytest.mark.parametrize("load", [(-1, 0, 9, 0), (0, 0, 0, 0), (0, 0, 9, -1)])
+def test_a_load_that_can_not_be_is_refused(load):
+    report = messages.LoadReport(*load, leaving=False)
+    refusal = messages.NotRunMessage("id", calls.NotRunReason.LEAVING, 0, report)
+    with pytest.raises(errors.MalformedMessageError):
+        codec.decode(codec.encode(refusal))
