--- a/src/savoryhollow/cli/main.py
+++ b/src/savoryhollow/cli/main.py
@@ -11,7 +11,14 @@
 import typer
 
 from savoryhollow import errors
-from savoryhollow.cli import asking, inspecting, ranking, reference, tracing
+from savoryhollow.cli import (
+    asking,
+    columns,
+    inspecting,
+    ranking,
+    reference,
+    tracing,
+)
 from savoryhollow.configuration import inspection, merging
 from savoryhollow.daemon import process
 
@@ -20,6 +27,7 @@
 # Exit statuses; 2 is a wrong use of the command.
 REJECTED = 1
 UNREACHABLE = 3
+MAX_PORT = 65535
 # Clears a terminal and goes to its top left corner.
 CLEAR = "\x1b[2J\x1b[H"
 
@@ -34,9 +42,22 @@
 )
 
 Folder = Annotated[pathlib.Path, typer.Argument(help="A folder of JSON files.")]
-Operator = Annotated[str, typer.Argument(help="Operator port, as HOST:PORT.")]
+
+
+def _operator(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    numbered = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    if not host or not numbered or "/" in host:
+        raise typer.BadParameter(f"{text!r} is no HOST:PORT, such as 127.0.0.1:7082")
+    return text
+
+
+Operator = Annotated[
+    str, typer.Argument(parser=_operator, help="Operator port, as HOST:PORT.")
+]
 Operators = Annotated[
-    list[str], typer.Argument(help="Operator ports, each as HOST:PORT.")
+    list[str],
+    typer.Argument(parser=_operator, help="Operator ports, each as HOST:PORT."),
 ]
 AsJson = Annotated[bool, typer.Option("--json", help="Print JSON for a program.")]
 
@@ -197,7 +218,7 @@
     if as_json:
         typer.echo(json.dumps(value, default=dataclasses.asdict, indent=2))
     else:
-        typer.echo("\n".join(lines))
+        typer.echo("\n".join(columns.fit(lines)))
 
 
 def _report(gathered: asking.Gathered) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -4,13 +4,15 @@
 import subprocess
 import sys
 
+import hypothesis
 import pytest
 import typer.testing
 import urllib3
+from hypothesis import strategies
 
 from emulator import deployment, plans
-from savoryhollow.cli import main, ranking
-from savoryhollow.observe import requests
+from savoryhollow.cli import asking, columns, main, ranking, tracing
+from savoryhollow.observe import placements, requests
 
 SERVICES = {
     "services": {
@@ -98,9 +100,34 @@
         assert shown.stdout == ""
 
 
+def test_what_is_no_folder_is_exit_status_1(tmp_path):
+    for path in (tmp_path / "missing", __file__):
+        shown = run("check", path)
+        assert shown.exit_code == main.REJECTED
+        assert "name a folder" in shown.stderr
+
+
+def test_any_text_in_a_folder_ends_in_a_verdict(tmp_path):
+    texts = ["", "{", "[]", "null", '{"services": 3}', '{"services": {"a": 3}}']
+    texts += ["\ufeff{}", '{"a": NaN}', '{"a": 1, "a": 2}', "[" * 5000]
+    for number, text in enumerate(texts):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        (folder / "10.json").write_text(text)
+        for arguments in (["check", folder], ["explain", folder, "services"]):
+            shown = run(*arguments)
+            assert isinstance(shown.exception, SystemExit), text
+            assert shown.exit_code == main.REJECTED
+            assert "10.json" in shown.stderr or "folder" in shown.stderr
+
+
 def test_wrong_usage_is_exit_status_2():
     assert run("check").exit_code == 2
     assert run("nonsense").exit_code == 2
+    for operator in ("host", "host:", ":1", "host:99999", "http://host:1", "host:x"):
+        shown = run("dump", operator)
+        assert shown.exit_code == 2, operator
+        assert "HOST:PORT" in shown.stderr
 
 
 def test_rejected_settings_are_exit_status_1(tmp_path):
@@ -144,6 +171,22 @@
     assert row(2, 1).percentile_s(50) == requests.BUCKETS_S[0]
 
 
+NAMES = strategies.text("abcxyz-.019", min_size=1, max_size=64)
+
+
+@hypothesis.given(NAMES, NAMES, NAMES, strategies.floats(0, 1e6))
+def test_a_trace_of_any_names_fits_a_narrow_terminal(request_id, name, region, ms):
+    choice = placements.Choice(ms, 1, 2, 3, ms, True)
+    placed = placements.PlacementRecord(
+        request_id, name, name, 0, name, region, "unknown", ms, 1.0, choice=choice
+    )
+    reply = asking.TraceReply(name, "evidence", [placed], [], [])
+    lines = tracing.lines(tracing.join(request_id, [reply]))
+    fitted = columns.fit(lines)
+    assert narrow("\n".join(fitted))
+    assert "".join("".join(fitted).split()) == "".join("".join(lines).split())
+
+
 # ---------------------------------------------------------------------------
 #   Running daemons
 # ---------------------------------------------------------------------------
