--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -41,6 +41,8 @@
 READERS_PER_ZONE = 3
 WATCH_S = 2.0
 LIST_INTERVAL_S = 1.0
+# Neighbours of a daemon that is no reader.
+NEIGHBOURS = 4
 # Endpoints of one rack.
 RACK_ENDPOINTS = 40
 # Hops that lie outside the zone that hears first: to another zone, another region.
@@ -138,13 +140,18 @@
     def reader_bytes_per_s(self) -> float:
         """Received from the store by one reader."""
         configuration = self.at("configuration, whole", SERVICES) * self.changes_per_s
-        return configuration + self.list_bytes * self.list_changes_per_s
+        return configuration + self.told_list_bytes * self.list_changes_per_s
 
     @property
     def list_bytes(self) -> float:
         """The whole list, as daemons pass it on."""
         return self.at("list, sent whole", ENDPOINTS)
 
+    @property
+    def told_list_bytes(self) -> float:
+        """The whole list, as the platform tells it."""
+        return self.at("list, as the platform tells it", ENDPOINTS)
+
     @property
     def platform_calls_per_s(self) -> float:
         """Made by all readers, with a waiting watch counted as one."""
@@ -152,6 +159,21 @@
         per_reader = 1 / WATCH_S + 1 / LIST_INTERVAL_S
         return readers * (per_reader + self.changes_per_s)
 
+    @property
+    def relay_link_bytes_per_s(self) -> float:
+        """Sent between all regions by readers that compare with far readers."""
+        far = REGIONS - 1
+        compared = self.last("spread, idle_bytes_per_s") / 2 / (NEIGHBOURS + far)
+        change = self.at("configuration, one file changed", SERVICES)
+        per_pair = compared + change * self.changes_per_s
+        return READERS_PER_ZONE * ZONES * far * per_pair
+
+    @property
+    def store_link_bytes_per_s(self) -> float:
+        """Read from the store by the readers of the other regions."""
+        readers = READERS_PER_ZONE * ZONES * (REGIONS - 1) / REGIONS
+        return readers * self.reader_bytes_per_s
+
     @property
     def hops(self) -> float:
         """Hops until every daemon has a revision, by the depth of the largest zone."""
@@ -159,9 +181,14 @@
 
     @property
     def spread_s(self) -> float:
-        """Time until a revision is in force everywhere, with no hop that fails."""
+        """Time until a revision is in force everywhere, with no hop that fails.
+
+        Each hop is taken to reach the daemon that counts as the last neighbour of
+        the one before, after all others of its neighbours have accepted.
+        """
+        accept_s = self.at("configuration, accepted", SERVICES) / 1e3
         measured = self.last("spread, all_max_ms") / 1e3
-        return measured + self.hops * self.at("configuration, accepted", SERVICES) / 1e3
+        return measured + self.hops * NEIGHBOURS * accept_s
 
 
 # ---------------------------------------------------------------------------
@@ -220,7 +247,18 @@
             MAX_PLATFORM_CALLS_PER_S,
             "calls/s",
         ),
-        _limited("the list as one value", "list", e.list_bytes, MAX_VALUE_BYTES, "B"),
+        _limited(
+            "the list as one value", "list", e.told_list_bytes, MAX_VALUE_BYTES, "B"
+        ),
+        _plain(
+            "between regions, the relay", "far readers", e.relay_link_bytes_per_s, "B/s"
+        ),
+        _plain(
+            "between regions, reads of the store",
+            "watch and list",
+            e.store_link_bytes_per_s,
+            "B/s",
+        ),
         _plain("hops of a revision", "relay", e.hops, "hops"),
         _limited("in force everywhere", "relay", e.spread_s, MAX_SPREAD_S, "s"),
     ]
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,6 +1,6 @@
 """Measure the slopes from which docs/CAPACITY.md is worked out.
 
-    python -m bench.slopes SPREAD_OUTPUT COST_OUTPUT
+    python -m bench.slopes bench/results/spread.jsonl bench/results/call_cost.jsonl
 
 The two files hold the lines that ``python -m bench.spread 10 30 60`` and
 ``python -m bench.call_cost`` printed. The slopes are written to
@@ -161,9 +161,11 @@
 
 
 def _list_slopes() -> list[Slope]:
-    memory, detail, replace, places, whole = [], [], [], [], []
+    memory, detail, replace, places = [], [], [], []
+    told, whole = [], []
     for size in LIST_SIZES:
         data = msgspec.json.encode(make_listing(size))
+        told.append((size, len(data)))
         memory.append((size, _held_kb(lambda data=data: _hold_list(data))))
         texts = _texts(data)
         members = table.MemberTable()
@@ -181,6 +183,7 @@
         fit("list, held in detail", "kB", per, COMMAND, detail),
         fit("list, one entry changed", "ms of processor", per, COMMAND, replace),
         fit("list, places worked out", "ms of processor", per, COMMAND, places),
+        fit("list, as the platform tells it", "bytes", per, COMMAND, told),
         fit("list, sent whole", "bytes", per, COMMAND, whole),
     ]
 
--- a/src/savoryhollow/settings/validation.py
+++ b/src/savoryhollow/settings/validation.py
@@ -54,7 +54,9 @@
     """
     try:
         parsed = json.loads(
-            text, object_pairs_hook=_build, parse_constant=_refuse_constant
+            text,
+            object_pairs_hook=_build,
+            parse_constant=functools.partial(_refuse_constant, source),
         )
     except (ValueError, RecursionError) as error:
         remedy = f"write valid JSON: {error}"
@@ -84,8 +86,9 @@
     return built
 
 
-def _refuse_constant(name: str) -> typing.NoReturn:
-    raise ValueError(f"{name} is no JSON number")
+def _refuse_constant(source: str, name: str) -> typing.NoReturn:
+    remedy = "write valid JSON: a number in digits"
+    raise errors.ConfigurationError([errors.Problem(source, "$", name, remedy)])
 
 
 def _check_parsed(value, path, depth, source, problems) -> None:
--- a/src/savoryhollow/store/following.py
+++ b/src/savoryhollow/store/following.py
@@ -117,9 +117,13 @@
         if self._members.revision == self._listed:
             return
         self._listed = self._members.revision
-        endpoints = tuple(self._members.all_endpoints())
-        self._neighbours = topology.neighbours(self._place, endpoints)
+        region = self._place.region
+        endpoints = [e for e in self._members.all_endpoints() if e.region == region]
         is_reader = topology.is_reader(self._place, endpoints)
+        if is_reader:
+            # Only readers have neighbours in other regions.
+            endpoints = list(self._members.all_endpoints())
+        self._neighbours = topology.neighbours(self._place, endpoints)
         if is_reader != self._is_reader:
             self._is_reader = is_reader
             events.emit(events.Event.READER_CHANGED, is_reader=is_reader)
