Hold requests between regions to the link budget of their service

Cause: link_bytes_per_s was read and never enforced. Change: a token bucket for each service in each daemon holds an equal share, the budget divided by endpoints_at_most, which the configuration declares. It starts empty, saves one second at most, is lowered at once and raised 10 s later. The router reserves request and expected answer before it sends to another region, keeps to the own region without a reservation, and refuses as link-budget where there is no endpoint.

--- a/emulator/plans.py
+++ b/emulator/plans.py
@@ -65,6 +65,7 @@
 }
 """,
         "20-budgets.json": """{
+  "endpoints_at_most": 10,
   "services": {
     "dispatch": {"budgets": {"link_bytes_per_s": 1000000, "retry_ratio": 0.1}},
     "maintenance": {"budgets": {"link_bytes_per_s": 500000, "retry_ratio": 0.1}}
@@ -103,6 +104,7 @@
 }
 """,
         "20-budgets.json": """{
+  "endpoints_at_most": 12,
   "services": {
     "parish": {"budgets": {"link_bytes_per_s": 200000, "retry_ratio": 0.1}},
     "workshop": {"budgets": {"link_bytes_per_s": 100000, "retry_ratio": 0.1}}
--- a/src/savoryhollow/budgets/buckets.py
+++ b/src/savoryhollow/budgets/buckets.py
@@ -5,14 +5,10 @@
 worked out from them would add up to more than the budget.
 """
 
-import threading
-
 __all__ = ["TokenBucket", "share_of"]
 
 # Time over which an unused share is saved up, in s.
 SAVED_S = 1.0
-# A process that did not run for longer than this wakes with an empty bucket, in s.
-PAUSE_S = 5.0
 
 
 def share_of(budget_per_s: float, holders_at_most: int) -> float:
@@ -29,9 +25,9 @@
     """Allows spending at a rate, with a bounded burst.
 
     It starts empty, so that a process that is replaced can't spend twice, and
-    saves at most ``SAVED_S`` of its rate. In any span of T seconds it allows at
-    most ``rate * (T + SAVED_S)``, and what is settled later on is made up for
-    before anything more is allowed.
+    saves at most ``SAVED_S`` of its rate, however long the process sleeps. What
+    is settled later on is made up for before anything more is allowed. The
+    caller takes care that one thread at a time uses it.
 
     :param rate_per_s: units that may be spent per second.
     :param now: the present instant.
@@ -39,42 +35,36 @@
 
     def __init__(self, rate_per_s: float, now: float):
         self.rate_per_s = rate_per_s
-        self._lock = threading.Lock()
+        self.spent = 0.0
         self._saved = 0.0
         self._filled_at = now
-        self.spent = 0.0
 
     @property
     def capacity(self) -> float:
         """The most that is saved."""
         return self.rate_per_s * SAVED_S
 
-    def withdraw(self, amount: float, now: float) -> bool:
-        """Spend an amount, if it is there.
+    def affords(self, amount: float, now: float) -> bool:
+        """Say whether an amount may be spent now.
+
+        An amount beyond the capacity may be spent by a full bucket, which then
+        owes the rest; otherwise it could never be spent.
 
         :param amount: the units to spend.
         :param now: the present instant.
-        :returns: whether it was spent.
         """
-        with self._lock:
-            self._refill(now)
-            if amount > self._saved:
-                return False
-            self._saved -= amount
-            self.spent += amount
-            return True
-
-    def settle(self, withdrawn: float, used: float, now: float) -> None:
-        """Correct an earlier withdrawal by what was used in truth.
-
-        :param withdrawn: the units withdrawn.
-        :param used: the units used; more than were withdrawn leave a debt.
+        self._refill(now)
+        return self.rate_per_s > 0 and self._saved >= min(amount, self.capacity)
+
+    def spend(self, amount: float, now: float) -> None:
+        """Take an amount out, or give some back where it is negative.
+
+        :param amount: the units.
         :param now: the present instant.
         """
-        with self._lock:
-            self._refill(now)
-            self._saved = min(self.capacity, self._saved + withdrawn - used)
-            self.spent += used - withdrawn
+        self._refill(now)
+        self._saved = min(self.capacity, self._saved - amount)
+        self.spent += amount
 
     def change_rate(self, rate_per_s: float, now: float) -> None:
         """Change the rate; what is saved is cut to the new capacity.
@@ -82,15 +72,11 @@
         :param rate_per_s: the new rate.
         :param now: the present instant.
         """
-        with self._lock:
-            self._refill(now)
-            self.rate_per_s = rate_per_s
-            self._saved = min(self._saved, self.capacity)
+        self._refill(now)
+        self.rate_per_s = rate_per_s
+        self._saved = min(self._saved, self.capacity)
 
     def _refill(self, now: float) -> None:
         elapsed = max(0.0, now - self._filled_at)
         self._filled_at = max(self._filled_at, now)
-        if elapsed > PAUSE_S:
-            self._saved = min(0.0, self._saved)
-            return
         self._saved = min(self.capacity, self._saved + elapsed * self.rate_per_s)
--- a/src/savoryhollow/configuration/models.py
+++ b/src/savoryhollow/configuration/models.py
@@ -68,3 +68,11 @@
     """Everything that a revision puts in force."""
 
     services: dict[Name, ServiceModel]
+    endpoints_at_most: Annotated[
+        int,
+        msgspec.Meta(
+            ge=1,
+            le=1_000_000,
+            description="endpoints ever running at one time, which share each budget",
+        ),
+    ] = 16
--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -9,13 +9,14 @@
 from savoryhollow.admission import gate as gate_module
 from savoryhollow.admission import queueing
 from savoryhollow.backend import client as backend_client
+from savoryhollow.budgets import links
 from savoryhollow.configuration import models
 from savoryhollow.daemon import dump
 from savoryhollow.front import service as front_service
 from savoryhollow.membership import table
 from savoryhollow.observe import events, operator_port, placements
 from savoryhollow.recovery import register
-from savoryhollow.routing import peers, placement, router
+from savoryhollow.routing import crossing, peers, placement, router
 from savoryhollow.settings import models as settings_models
 from savoryhollow.store import following
 from savoryhollow.wire import messages, server
@@ -98,6 +99,9 @@
             settings.endpoint_id, settings.region, settings.zone
         )
         self._connections = peers.PeerConnections(hello)
+        self.link_budgets = links.LinkBudgets(
+            lambda: self.members.size, time.monotonic()
+        )
         policy = placement.make_policy(settings.placement, vantage, random.Random())
         self.router = router.Router(
             vantage,
@@ -107,6 +111,7 @@
             self.gate,
             policy,
             self.placements.add,
+            crossing.LinkGuard(settings.region, self.link_budgets),
         )
 
     def _build_store(self, hello: messages.HelloMessage) -> None:
@@ -152,6 +157,7 @@
         return self.gate.answer_aside(message) if answer is None else answer
 
     def _configure(self, configuration: models.Configuration) -> None:
+        self.link_budgets.configure(configuration, time.monotonic())
         self.router.configure(configuration)
         own = configuration.services.get(self.settings.service)
         if own is not None:
--- a/src/savoryhollow/daemon/dump.py
+++ b/src/savoryhollow/daemon/dump.py
@@ -36,6 +36,7 @@
         "store_bytes": daemon.store.bytes_received,
         "is_reader": daemon.holder.is_reader,
         "relay_bytes": daemon.holder.relay.bytes_total,
+        "link_budgets": plain(daemon.link_budgets.states_by_service()),
         "known_endpoints": daemon.members.size,
         "load": dataclasses.asdict(daemon.gate.report()),
         "outcome_records": len(daemon.outcomes),
--- a/src/savoryhollow/recovery/retrying.py
+++ b/src/savoryhollow/recovery/retrying.py
@@ -46,6 +46,7 @@
         calls.NotRunReason.DEADLINE,
         calls.NotRunReason.OVERLOADED,
         calls.NotRunReason.BARRED,
+        calls.NotRunReason.LINK_BUDGET,
     )
 )
 
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -11,7 +11,7 @@
 from savoryhollow.membership import table
 from savoryhollow.observe import placements
 from savoryhollow.recovery import retrying
-from savoryhollow.routing import evidence, peers, placement
+from savoryhollow.routing import crossing, evidence, peers, placement
 from savoryhollow.wire import exchange, messages
 
 __all__ = ["Router"]
@@ -27,6 +27,7 @@
     incarnation: str
     answer: exchange.Answer | None
     lost: bool = False
+    reason: calls.NotRunReason = calls.NotRunReason.UNREACHABLE
 
 
 class Router:
@@ -39,6 +40,7 @@
     :param local_gate: the gate of this process.
     :param policy: chooses among candidates.
     :param record: keeps a record of each placement.
+    :param link_guard: allows requests to other regions; all of them where None.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         local_gate: gate_module.Gate,
         policy: placement.Policy,
         record: typing.Callable[[placements.PlacementRecord], None],
+        link_guard: crossing.LinkGuard | None = None,
     ):
         self._vantage = vantage
         self._incarnation = incarnation
@@ -58,6 +61,7 @@
         self._local_gate = local_gate
         self._policy = policy
         self._record = record
+        self._link_guard = link_guard or crossing.unlimited(vantage.region)
         self._lock = threading.Lock()
         self._evidence_by_id: dict[str, evidence.EndpointEvidence] = {}
         self._budgets_by_service: dict[str, retrying.RetryBudget] = {}
@@ -107,7 +111,7 @@
                 return outcome
             candidate = self._choose(call, tried)
             if candidate is None:
-                return outcome
+                return outcome if tried else _not_run(call, self._why_none(call))
             tried.add(candidate.endpoint.endpoint_id)
             outcome = self._attempt(call, candidate, attempt)
             if not retrying.may_place_again(call, outcome, time.monotonic()):
@@ -140,12 +144,14 @@
 
     def _choose(self, call, tried) -> placement.Candidate | None:
         now = time.monotonic()
+        is_open = self._link_guard.is_open(call, now)
         with self._lock:
             candidates = [
                 placement.Candidate(endpoint, self._evidence(endpoint.endpoint_id))
                 for endpoint in self._members.endpoints(call.service)
                 if endpoint.state is table.EndpointState.LIVE
                 and endpoint.endpoint_id not in tried
+                and (is_open or not self._link_guard.is_far(endpoint))
             ]
             if not candidates:
                 return None
@@ -153,6 +159,12 @@
             candidate.evidence.begin()
             return candidate
 
+    def _why_none(self, call: calls.Call) -> calls.NotRunReason:
+        for endpoint in self._members.endpoints(call.service):
+            if endpoint.state is table.EndpointState.LIVE:
+                return calls.NotRunReason.LINK_BUDGET
+        return calls.NotRunReason.NO_ENDPOINT
+
     def _evidence(self, endpoint_id: str) -> evidence.EndpointEvidence:
         return self._evidence_by_id.setdefault(endpoint_id, evidence.EndpointEvidence())
 
@@ -169,7 +181,7 @@
         if self._is_local(endpoint):
             result = _Result(self._incarnation, self._local_gate.serve(message))
         else:
-            result = self._send(endpoint, message, call.deadline)
+            result = self._send_guarded(endpoint, message, call.deadline)
         outcome = self._outcome(call, endpoint, attempt_id, result)
         self._learn(candidate, result, started)
         self._record(
@@ -190,6 +202,15 @@
     def _is_local(self, endpoint: table.Endpoint) -> bool:
         return endpoint.endpoint_id == self._vantage.endpoint_id
 
+    def _send_guarded(self, endpoint, message, deadline) -> _Result:
+        reserved = self._link_guard.reserve(endpoint, message)
+        if reserved is None:
+            return _Result("", None, reason=calls.NotRunReason.LINK_BUDGET)
+        result = self._send(endpoint, message, deadline)
+        sent = result.incarnation != ""
+        self._link_guard.settle(reserved, message, result.answer, sent)
+        return result
+
     def _send(self, endpoint, message, deadline) -> _Result:
         try:
             opened = self._connections.open(endpoint)
@@ -238,7 +259,7 @@
         if isinstance(answer, messages.NotRunMessage):
             return calls.NotRun(call.request_id, answer.reason, answer.retry_after_ms)
         if answer is None and not result.lost:
-            return _not_run(call, calls.NotRunReason.UNREACHABLE)
+            return _not_run(call, result.reason)
         if call.idempotent and time.monotonic() >= call.deadline:
             return calls.TimedOut(call.request_id, endpoint.endpoint_id)
         ticket = calls.Ticket(attempt_id, endpoint.endpoint_id, result.incarnation)
@@ -252,6 +273,7 @@
         with self._lock:
             candidate.evidence.end(report, now - started if served else None, now)
             refused = isinstance(answer, messages.NotRunMessage)
+            refused = refused or result.reason is calls.NotRunReason.LINK_BUDGET
             if not served and not refused:
                 candidate.evidence.fail(now)
 
