--- a/bench/spread.py
+++ b/bench/spread.py
@@ -10,7 +10,6 @@
 import dataclasses
 import json
 import os
-import re
 import statistics
 import sys
 import time
@@ -27,11 +26,8 @@
 # Time for every daemon to find its neighbours, in s.
 SETTLE_S = 6.0
 SERVICES = 2
-_IN_FORCE = re.compile(
-    r"^I\d{4} (\d\d):(\d\d):(\d\d\.\d+) "
-    r".*\"configuration_in_force\", \"revision\": (\d+)"
-)
-DAY_S = 86_400
+# The event of a revision that is put in force.
+IN_FORCE_EVENT = 2001
 
 
 @dataclasses.dataclass(slots=True)
@@ -188,15 +184,10 @@
     delays: dict[int, list[float]] = {revision: [] for revision in published}
     for instance in running.instances_by_id.values():
         for line in running.log(f"daemon-{instance.endpoint_id}").splitlines():
-            found = _IN_FORCE.match(line)
-            if found is None or int(found[4]) not in published:
-                continue
-            revision = int(found[4])
-            at = int(found[1]) * 3600 + int(found[2]) * 60 + float(found[3])
-            start = time.localtime(published[revision])
-            begun = start.tm_hour * 3600 + start.tm_min * 60 + start.tm_sec
-            begun += published[revision] % 1
-            delays[revision].append((at - begun) % DAY_S)
+            event = json.loads(line) if line.startswith("{") else {}
+            revision = event.get("revision")
+            if event.get("event") == IN_FORCE_EVENT and revision in published:
+                delays[revision].append(event["time"] - published[revision])
     return {revision: found for revision, found in delays.items() if found}
 
 
