--- a/src/savoryhollow/store/relay.py
+++ b/src/savoryhollow/store/relay.py
@@ -18,7 +18,7 @@
 from savoryhollow.wire import channel as channel_module
 from savoryhollow.wire import messages
 
-__all__ = ["Relay"]
+__all__ = ["Link", "Relay", "choose_links"]
 
 # Mean time between two comparisons, in s.
 COMPARE_INTERVAL_S = 1.0
@@ -32,7 +32,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Link:
+class Link:
     """The connection to one neighbour.
 
     :param retry_at: the instant before which it is left alone.
@@ -44,6 +44,25 @@
     retry_at: float = 0.0
 
 
+def choose_links(
+    links: list[Link], everyone: bool, turn: int, now: float
+) -> list[Link]:
+    """Return the links to compare over, in their order.
+
+    Those that are connected come first, so that news never waits behind a
+    neighbour that is dead and not yet known to be.
+
+    :param links: every link.
+    :param everyone: whether all are wanted, or one in turn.
+    :param turn: rises by one with each round.
+    :param now: the present instant.
+    """
+    ready = [link for link in links if link.retry_at <= now]
+    if ready and not everyone:
+        ready = [ready[turn % len(ready)]]
+    return sorted(ready, key=lambda link: link.channel is None)
+
+
 class Relay:
     """Compares documents with the neighbours in a thread of its own.
 
@@ -64,7 +83,7 @@
         self._trust = trust
         self._hello = hello
         self._neighbours = neighbours
-        self._links_by_id: dict[str, _Link] = {}
+        self._links_by_id: dict[str, Link] = {}
         self._news = threading.Event()
         self._stopping = False
         self._turn = 0
@@ -108,12 +127,10 @@
         return COMPARE_INTERVAL_S * self._random.uniform(0.75, 1.25)
 
     def _round(self, everyone: bool) -> None:
-        now = time.monotonic()
-        ready = [k for k in self._links_by_id.values() if k.retry_at <= now]
-        if ready and not everyone:
-            self._turn += 1
-            ready = [ready[self._turn % len(ready)]]
-        answers = [self._reconcile_safely(link) for link in ready]
+        self._turn += 1
+        links = list(self._links_by_id.values())
+        chosen = choose_links(links, everyone, self._turn, time.monotonic())
+        answers = [self._reconcile_safely(link) for link in chosen]
         now = time.monotonic()
         if any(answers):
             self.answered_at = now
@@ -126,13 +143,13 @@
                 self._close(link)
                 del self._links_by_id[endpoint_id]
         for endpoint_id, endpoint in wanted.items():
-            self._links_by_id.setdefault(endpoint_id, _Link(endpoint))
+            self._links_by_id.setdefault(endpoint_id, Link(endpoint))
 
     # -----------------------------------------------------------------------
     #   One neighbour
     # -----------------------------------------------------------------------
 
-    def _reconcile_safely(self, link: _Link) -> bool:
+    def _reconcile_safely(self, link: Link) -> bool:
         try:
             self._reconcile(link)
         except errors.WireError:
@@ -144,7 +161,7 @@
         link.failures = 0
         return True
 
-    def _reconcile(self, link: _Link) -> None:
+    def _reconcile(self, link: Link) -> None:
         if link.channel is None:
             link.channel = self._connect(link.endpoint)
         channel = link.channel
@@ -166,7 +183,7 @@
             raise errors.ChannelClosedError(text)
         return channel
 
-    def _close(self, link: _Link) -> None:
+    def _close(self, link: Link) -> None:
         if link.channel is not None:
             channel, link.channel = link.channel, None
             self._closed_bytes += channel.bytes_sent + channel.bytes_received
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,7 +9,7 @@
 from emulator import deployment, plans
 from savoryhollow import errors
 from savoryhollow.membership import table
-from savoryhollow.store import documents, publications, reader, topology, trust
+from savoryhollow.store import documents, publications, reader, relay, topology, trust
 from savoryhollow.wire import codec, messages
 
 TOPIC = publications.CONFIGURATION_TOPIC
@@ -201,6 +201,17 @@
     assert pace.reads is reads
 
 
+def test_news_never_waits_behind_a_neighbour_that_is_not_connected():
+    endpoints = fleet(4)
+    links = [relay.Link(endpoint) for endpoint in endpoints]
+    links[2].channel = object()
+    links[3].retry_at = 20.0
+    chosen = relay.choose_links(links, True, 0, 10.0)
+    assert [link.endpoint.endpoint_id for link in chosen] == ["e-2", "e-0", "e-1"]
+    alone = [relay.choose_links(links, False, turn, 10.0) for turn in range(3)]
+    assert {link.endpoint.endpoint_id for (link,) in alone} == {"e-0", "e-1", "e-2"}
+
+
 # ---------------------------------------------------------------------------
 #   Trust in the store
 # ---------------------------------------------------------------------------
