--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -44,7 +44,7 @@
     ("control", "savoryhollow.store.following"),
     ("data path", "savoryhollow.webserver, savoryhollow.backend.client"),
     ("data path", "savoryhollow.routing.router, savoryhollow.front.service"),
-    ("data path", "savoryhollow.daemon.process"),
+    ("observation", "savoryhollow.daemon.process"),
 )
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,3 +1,5 @@
+import time
+
 import msgspec
 import pytest
 
@@ -6,6 +8,9 @@
 from savoryhollow.routing import peers
 from savoryhollow.wire import messages, server
 
+# Limit for a server to stop, in s.
+STOP_LIMIT_S = 2.0
+
 
 def instance(service, number, state="live", host="10.0.0.1"):
     return table.InstanceModel(
@@ -103,7 +108,7 @@
             connections.open(endpoint_at(newcomer.port, "a-0"))
     finally:
         connections.close()
-        newcomer.stop()
+        newcomer.stop(time.monotonic() + STOP_LIMIT_S)
 
 
 def test_a_restarted_instance_is_told_apart_by_its_incarnation():
@@ -117,5 +122,5 @@
         assert opened.peer.incarnation == "new"
     finally:
         connections.close()
-        first.stop()
-        second.stop()
+        first.stop(time.monotonic() + STOP_LIMIT_S)
+        second.stop(time.monotonic() + STOP_LIMIT_S)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,6 @@
 import json
 import random
+import signal
 import time
 
 import hypothesis
@@ -310,3 +311,33 @@
     await_revisions(running, 9)
     running.control_platform(down=True)
     assert restart(running, "s-1") == 9
+
+
+def by_region(running):
+    found = {}
+    for instance in running.instances_by_id.values():
+        revision = running.dump(instance)["configuration_revision"]
+        found.setdefault(instance.region, set()).add(revision)
+    return found
+
+
+def test_regions_that_were_parted_agree_again(running):
+    running.control_link(cut=True)
+    running.control_platform(files=files(0.8), revision=5)
+    deadline = time.monotonic() + LIVENESS_S
+    while by_region(running)["east"] != {5}:
+        assert time.monotonic() < deadline, by_region(running)
+        time.sleep(0.05)
+    assert by_region(running)["west"] == {1}
+    running.control_link(cut=False)
+    await_revisions(running, 5)
+
+
+def test_a_daemon_that_was_paused_learns_what_it_missed(running):
+    paused = running.instances_by_id["s-0"].daemon
+    paused.send_signal(signal.SIGSTOP)
+    running.control_platform(files=files(0.8), revision=5)
+    time.sleep(trust.PAUSE_S + 0.5)
+    running.control_platform(files=files(0.5), revision=1)
+    paused.send_signal(signal.SIGCONT)
+    await_revisions(running, 5)
