--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -85,10 +85,26 @@
     return messages.HelloMessage(messages.PROTOCOL_VERSION, endpoint_id, incarnation)
 
 
+class NoCalls:
+    """Serves connections that carry no calls."""
+
+    def open_connection(self, session, number, close):
+        return session
+
+    def close_connection(self, connection):
+        pass
+
+    def stop_accepting(self, connection):
+        return None
+
+    def begin(self, call, connection):
+        raise AssertionError("no call is made here")
+
+
 def serve(endpoint_id, incarnation):
     greeting = hello(endpoint_id, incarnation)
     started = server.InnerServer(
-        "127.0.0.1", 0, greeting, lambda call: call, lambda message: None
+        "127.0.0.1", 0, greeting, NoCalls(), lambda message, connection: None
     )
     started.start()
     return started
