--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -9,6 +9,7 @@
 from savoryhollow.admission import gate as gate_module
 from savoryhollow.admission import queueing
 from savoryhollow.backend import client as backend_client
+from savoryhollow.budgets import links
 from savoryhollow.configuration import models
 from savoryhollow.daemon import dump
 from savoryhollow.front import service as front_service
@@ -23,7 +24,7 @@
     vitals,
 )
 from savoryhollow.recovery import register, retrying
-from savoryhollow.routing import peers, placement, router
+from savoryhollow.routing import crossing, peers, placement, router
 from savoryhollow.settings import models as settings_models
 from savoryhollow.store import client as store_client
 from savoryhollow.store import following, topology
@@ -125,6 +126,9 @@
             settings.endpoint_id, settings.region, settings.zone
         )
         self.connections = peers.PeerConnections(hello)
+        self.link_budgets = links.LinkBudgets(
+            lambda: self.members.size, time.monotonic()
+        )
         policy = placement.make_policy(settings.placement, vantage, random.Random())
         self.router = router.Router(
             vantage,
@@ -134,6 +138,7 @@
             self.gate,
             policy,
             self._record,
+            crossing.LinkGuard(settings.region, self.link_budgets),
         )
         self.route = self.requests.observe(self.router.route)
 
@@ -191,6 +196,7 @@
         return self.gate.answer_aside(message, connection)
 
     def _configure(self, configuration: models.Configuration) -> None:
+        self.link_budgets.configure(configuration, time.monotonic())
         self.router.configure(configuration)
         own = configuration.services.get(self.settings.service)
         if own is not None:
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -11,7 +11,14 @@
 from savoryhollow.membership import table
 from savoryhollow.observe import placements
 from savoryhollow.recovery import register, retrying
-from savoryhollow.routing import evidence, pauses, peers, placement, reasons
+from savoryhollow.routing import (
+    crossing,
+    evidence,
+    pauses,
+    peers,
+    placement,
+    reasons,
+)
 from savoryhollow.wire import exchange, messages
 
 __all__ = ["LocalGate", "Router"]
@@ -65,10 +72,13 @@
     origin: calls.Origin
     answer: exchange.Answer | None
     lost: bool = False
+    reason: calls.NotRunReason = calls.NotRunReason.UNREACHABLE
 
 
 # Stands for an attempt that was never sent.
 _UNSENT = _Result("", calls.Origin("", 0, 0), None)
+# Stands for one that the link budget kept from being sent.
+_LINK_CLOSED = dataclasses.replace(_UNSENT, reason=calls.NotRunReason.LINK_BUDGET)
 
 
 class Router:
@@ -81,6 +91,7 @@
     :param local_gate: the gate of this process.
     :param policy: chooses among candidates.
     :param record: keeps a record of each placement.
+    :param link_guard: allows requests to other regions; all of them where None.
     """
 
     def __init__(
@@ -92,6 +103,7 @@
         local_gate: LocalGate,
         policy: placement.Policy,
         record: typing.Callable[[placements.PlacementRecord], None],
+        link_guard: crossing.LinkGuard | None = None,
     ):
         self._vantage = vantage
         self._incarnation = incarnation
@@ -100,6 +112,7 @@
         self._local_gate = local_gate
         self._policy = policy
         self._record = record
+        self._link_guard = link_guard or crossing.unlimited(vantage.region)
         self._lock = threading.Lock()
         self._evidence_by_id: dict[str, evidence.EndpointEvidence] = {}
         self.pauses = pauses.PauseDetector(time.monotonic())
@@ -148,7 +161,7 @@
         for attempt in range(service.attempts):
             chosen = self._choose(call, tried)
             if chosen is None:
-                return outcome
+                return outcome if tried else _not_run(call, self._why_none(call))
             trial = not chosen.candidate.evidence.trusted
             tried.add(chosen.candidate.endpoint.endpoint_id)
             latest = self._attempt(call, chosen, attempt, allowance)
@@ -195,12 +208,14 @@
 
     def _choose(self, call, tried) -> _Chosen | None:
         now = time.monotonic()
+        is_open = self._link_guard.is_open(call, now)
         with self._lock:
             candidates = [
                 placement.Candidate(endpoint, self._evidence(endpoint.endpoint_id))
                 for endpoint in self._members.endpoints(call.service)
                 if endpoint.state is table.EndpointState.LIVE
                 and endpoint.endpoint_id not in tried
+                and (is_open or not self._link_guard.is_far(endpoint))
             ]
             if not candidates:
                 return None
@@ -224,6 +239,12 @@
         urgent = first != last and ranks[call.rank].order == first
         return placement.Placing(now, call.idempotent and not urgent)
 
+    def _why_none(self, call: calls.Call) -> calls.NotRunReason:
+        for endpoint in self._members.endpoints(call.service):
+            if endpoint.state is table.EndpointState.LIVE:
+                return calls.NotRunReason.LINK_BUDGET
+        return calls.NotRunReason.NO_ENDPOINT
+
     def _evidence(self, endpoint_id: str) -> evidence.EndpointEvidence:
         return self._evidence_by_id.setdefault(endpoint_id, evidence.EndpointEvidence())
 
@@ -243,7 +264,7 @@
             answer = self._local_gate.serve(message)
             result = _Result(self._incarnation, origin, answer)
         else:
-            result = self._send(endpoint, message, call.deadline)
+            result = self._send_guarded(endpoint, message, call.deadline)
         outcome = self._outcome(call, endpoint, attempt_id, result)
         self._learn(candidate, result, started)
         self._record(
@@ -270,6 +291,15 @@
     def _is_local(self, endpoint: table.Endpoint) -> bool:
         return endpoint.endpoint_id == self._vantage.endpoint_id
 
+    def _send_guarded(self, endpoint, message, deadline) -> _Result:
+        reserved = self._link_guard.reserve(endpoint, message)
+        if reserved is None:
+            return _LINK_CLOSED
+        result = self._send(endpoint, message, deadline)
+        sent = result.incarnation != ""
+        self._link_guard.settle(reserved, message, result.answer, sent)
+        return result
+
     def _send(self, endpoint, message, deadline) -> _Result:
         try:
             opened = self._connections.open(endpoint)
@@ -343,7 +373,7 @@
         if isinstance(answer, messages.NotRunMessage):
             return calls.NotRun(call.request_id, answer.reason, answer.retry_after_ms)
         if answer is None and not result.lost:
-            return _not_run(call, calls.NotRunReason.UNREACHABLE)
+            return _not_run(call, result.reason)
         if call.idempotent and time.monotonic() >= call.deadline:
             return calls.TimedOut(call.request_id, endpoint.endpoint_id)
         ticket = calls.Ticket(
@@ -367,7 +397,7 @@
                 known.observe(report, now)
             if served and not failed:
                 known.succeed(now - started, now)
-            elif getattr(answer, "reason", None) not in _REFUSALS:
+            elif (getattr(answer, "reason", None) or result.reason) not in _REFUSALS:
                 known.fail(now, reached=served)
 
 
