Order waiting requests by rank, floor, caller and deadline

Cause: the queue of the thin path ordered by rank and deadline alone. It read the floors and worths of the configuration but used neither, so that a flood of the most urgent rank took every slot; it refused an urgent arrival when less urgent work had filled the queue; one caller could take a whole rank; and its estimate of the wait counted all work, also that which is served later.

Ruled out: a floor on slots held now alone (0.1 of 9 slots is none or one of nine), and a floor on the average alone (a rank that was idle may then take all slots at one time until its average has risen, ahead of urgent work). Both together hold the average and bound the moment.

Change: a lane for each rank with its own smoothed service time and deviation; a free slot goes to the most urgent rank below its floor, else to the most urgent one. Within a rank the caller with fewest requests in service comes next, and of a caller the earliest deadline. A full queue sheds the lowest worth, but keeps places for each floor. The expected wait counts only what is served before. A request is refused at its latest start rather than at its deadline. The number of slots may change. At most 256 requests wait, as each holds a thread.

Conclusion: in virtual time, in a flood of any rank at three times capacity, each rank keeps its floor and the slots are used for 95% or more.

--- /dev/null
+++ b/src/savoryhollow/admission/estimates.py
@@ -0,0 +1,71 @@
+"""What a gate has measured of each rank of work.
+
+Pure computation: the caller passes the instant.
+"""
+
+import math
+
+__all__ = ["Occupancy", "ServiceTime"]
+
+# Weight of the newest sample in the smoothed service time and its deviation.
+SAMPLE_WEIGHT = 0.1
+# Service time assumed before the first sample, in s.
+FIRST_SERVICE_S = 0.01
+# Mean deviations added to the mean for a service time that is rarely exceeded.
+SAFE_DEVIATIONS = 2.0
+# Time over which the slots held by a rank are averaged, in s.
+HORIZON_S = 1.0
+
+
+class ServiceTime:
+    """The smoothed time that requests of one rank hold a slot.
+
+    :param mean_s: the smoothed mean, in s.
+    :param deviation_s: the smoothed mean deviation, in s.
+    """
+
+    __slots__ = ("deviation_s", "mean_s")
+
+    def __init__(self) -> None:
+        self.mean_s = FIRST_SERVICE_S
+        self.deviation_s = 0.0
+
+    @property
+    def safe_s(self) -> float:
+        """A service time that is rarely exceeded, in s."""
+        return self.mean_s + SAFE_DEVIATIONS * self.deviation_s
+
+    def add(self, held_s: float) -> None:
+        """Take in a sample.
+
+        :param held_s: how long a slot was held, in s.
+        """
+        error = held_s - self.mean_s
+        self.mean_s += SAMPLE_WEIGHT * error
+        self.deviation_s += SAMPLE_WEIGHT * (abs(error) - self.deviation_s)
+
+
+class Occupancy:
+    """The slots that one rank holds, now and on average over the horizon."""
+
+    __slots__ = ("_average", "_at", "busy")
+
+    def __init__(self) -> None:
+        self.busy = 0
+        self._average = 0.0
+        self._at = 0.0
+
+    def average(self, now: float) -> float:
+        """Return the slots held on average over the horizon until now."""
+        age = max(0.0, now - self._at)
+        return self.busy + (self._average - self.busy) * math.exp(-age / HORIZON_S)
+
+    def change(self, difference: int, now: float) -> None:
+        """Note that slots were taken or given back.
+
+        :param difference: slots taken, negative where they were given back.
+        :param now: the present instant.
+        """
+        self._average = self.average(now)
+        self._at = max(self._at, now)
+        self.busy += difference
--- a/src/savoryhollow/admission/gate.py
+++ b/src/savoryhollow/admission/gate.py
@@ -10,13 +10,16 @@
 import typing
 
 from savoryhollow import calls, errors
-from savoryhollow.admission import queueing
+from savoryhollow.admission import lanes, queueing
 from savoryhollow.backend import client as backend_client
 from savoryhollow.recovery import register
 from savoryhollow.wire import messages
 
 __all__ = ["Gate", "GateAnswer"]
 
+# Requests that may wait, whatever is configured; each of them holds a thread.
+MAX_WAITING = 256
+
 RunBackend = collections.abc.Callable[
     [messages.CallMessage, float], backend_client.BackendAnswer
 ]
@@ -26,13 +29,13 @@
 
 
 class _Admission:
-    """One request inside the gate and the thread that waits for its slot."""
+    """One request in the queue and the thread that waits for its slot."""
 
-    __slots__ = ("entry", "granted")
+    __slots__ = ("entry", "settled")
 
-    def __init__(self, entry: queueing.Entry):
+    def __init__(self, entry: lanes.Entry):
         self.entry = entry
-        self.granted = threading.Event()
+        self.settled = threading.Event()
 
 
 class Gate:
@@ -85,9 +88,10 @@
         return answer
 
     def _admit_and_run(self, call, deadline) -> GateAnswer:
-        reason = self._acquire(call, deadline)
-        if reason is not None:
-            return self._refuse(call, reason)
+        entry = lanes.Entry(call.request_id, call.rank, call.caller, deadline)
+        self._acquire(entry)
+        if entry.refusal is not None:
+            return self._refuse(call, entry.refusal)
         started = time.monotonic()
         try:
             answer = self._run_backend(call, deadline)
@@ -96,14 +100,14 @@
                 return self._refuse(call, calls.NotRunReason.UNREACHABLE)
             return messages.UnknownMessage(call.request_id, str(error), self.report())
         finally:
-            self._release(time.monotonic() - started)
+            self._release(entry, started)
         return messages.ServedMessage(
             call.request_id, answer.status, answer.headers, answer.body, self.report()
         )
 
     def _refuse(self, call, reason) -> messages.NotRunMessage:
         with self._lock:
-            retry_after_ms = self._queue.retry_after_ms()
+            retry_after_ms = self._queue.retry_after_ms(call.rank, time.monotonic())
         return messages.NotRunMessage(
             call.request_id, reason, retry_after_ms, self.report()
         )
@@ -112,47 +116,69 @@
     #   Slots
     # -----------------------------------------------------------------------
 
-    def _acquire(self, call, deadline) -> calls.NotRunReason | None:
-        entry = queueing.Entry(call.request_id, call.rank, call.caller, deadline)
+    def _acquire(self, entry: lanes.Entry) -> None:
+        """Wait until the request holds a slot or has a refusal set."""
         admission = _Admission(entry)
         with self._lock:
-            if self.leaving:
-                return calls.NotRunReason.LEAVING
-            reason = self._queue.offer(entry, time.monotonic())
-            if reason is not None:
-                return reason
-            self._admissions_by_id[call.request_id] = admission
-            self._grant()
-        granted = admission.granted.wait(max(0.0, deadline - time.monotonic()))
-        with self._lock:
-            self._admissions_by_id.pop(call.request_id, None)
-            if not granted and not admission.granted.is_set():
-                self._queue.withdraw(entry)
-                return calls.NotRunReason.DEADLINE
-        if entry.cancelled:
-            return calls.NotRunReason.CANCELLED
-        return calls.NotRunReason.DEADLINE if entry.expired else None
+            if not self._offer(admission):
+                return
+        # Past its latest start a request is refused while its caller has time left.
+        remaining_s = entry.latest_start - time.monotonic()
+        if not admission.settled.wait(max(0.0, remaining_s)):
+            self._withdraw(entry.request_id, calls.NotRunReason.DEADLINE)
+
+    def _offer(self, admission: _Admission) -> bool:
+        """Put a request into the queue; return whether it has to wait."""
+        entry = admission.entry
+        if self.leaving:
+            entry.refusal = calls.NotRunReason.LEAVING
+            return False
+        refused = self._queue.offer(entry, time.monotonic())
+        if refused is entry:
+            return False
+        self._admissions_by_id[entry.request_id] = admission
+        if refused is not None:
+            self._settle(refused.request_id)
+        self._grant()
+        return entry.request_id in self._admissions_by_id
 
     def _grant(self) -> None:
         while (entry := self._queue.take(time.monotonic())) is not None:
-            self._admissions_by_id[entry.request_id].granted.set()
+            self._settle(entry.request_id)
+
+    def _settle(self, request_id: str) -> None:
+        self._admissions_by_id.pop(request_id).settled.set()
 
-    def _release(self, held_s: float) -> None:
+    def _withdraw(self, request_id: str, reason: calls.NotRunReason) -> None:
+        with self._lock:
+            admission = self._admissions_by_id.get(request_id)
+            if admission is not None and self._queue.withdraw(admission.entry, reason):
+                self._settle(request_id)
+
+    def _release(self, entry: lanes.Entry, started: float) -> None:
+        now = time.monotonic()
         with self._lock:
-            self._queue.release(held_s)
+            self._queue.release(entry, now - started, now)
             self._grant()
 
-    def configure(
-        self, limit: int, rules_by_rank: dict[str, queueing.RankRule]
-    ) -> None:
+    def configure(self, limit: int, rules_by_rank: dict[str, lanes.RankRule]) -> None:
         """Put new rules in force; requests inside keep their place.
 
-        :param limit: requests that may wait.
+        :param limit: requests that may wait; each holds a thread, so it is
+            kept below ``MAX_WAITING``.
         :param rules_by_rank: the rule of each rank.
         """
         with self._lock:
-            self._queue.limit = limit
-            self._queue.rules_by_rank = rules_by_rank
+            self._queue.configure(min(limit, MAX_WAITING), rules_by_rank)
+
+    def resize(self, slots: int) -> None:
+        """Change the number of slots; requests that hold one keep it.
+
+        :param slots: requests that the backend server runs from now on.
+        """
+        with self._lock:
+            self._queue.resize(slots)
+            self._grant()
 
     # -----------------------------------------------------------------------
     #   Other messages
@@ -176,11 +202,7 @@
 
     def cancel(self, request_id: str) -> None:
         """Withdraw a request that still waits; one that runs is left to end."""
-        with self._lock:
-            admission = self._admissions_by_id.get(request_id)
-            if admission is not None and not admission.granted.is_set():
-                self._queue.withdraw(admission.entry)
-                admission.granted.set()
+        self._withdraw(request_id, calls.NotRunReason.CANCELLED)
 
     def report(self) -> messages.LoadReport:
         """Return the load of the backend server as it is now."""
--- /dev/null
+++ b/src/savoryhollow/admission/lanes.py
@@ -0,0 +1,179 @@
+"""The requests of one rank that wait, and the order among them.
+
+The caller with the fewest requests in service comes next, the one served
+longest ago among equals; of one caller, the request with the earliest deadline.
+So a caller that floods a rank holds up its own requests alone.
+"""
+
+import bisect
+import dataclasses
+import math
+
+from savoryhollow import calls
+from savoryhollow.admission import estimates
+
+__all__ = ["Entry", "RankLane", "RankRule"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankRule:
+    """How one rank of work is treated.
+
+    :param order: lower is served first.
+    :param floor: the share of the slots kept for it while it has work.
+    :param worth: what one served request is worth when work has to be shed.
+    """
+
+    order: int
+    floor: float
+    worth: float
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """One request in front of the slots.
+
+    :param deadline: the instant after which an answer is of no use.
+    :param latest_start: the instant after which it can't end in time.
+    :param sequence: breaks ties between equal deadlines.
+    :param refusal: why it was turned away, if it was.
+    """
+
+    request_id: str
+    rank: str
+    caller: str
+    deadline: float
+    latest_start: float = math.inf
+    sequence: int = 0
+    refusal: calls.NotRunReason | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _CallerLane:
+    """The requests of one caller: waiting, by deadline, and in service.
+
+    :param turn: the last turn in which it was served, or in which it came.
+    """
+
+    turn: int
+    entries: list[Entry] = dataclasses.field(default_factory=list)
+    in_service: int = 0
+
+
+class RankLane:
+    """The requests of one rank.
+
+    :param rule: how the rank is treated; it may be replaced.
+    """
+
+    def __init__(self, rule: RankRule):
+        self.rule = rule
+        self.service = estimates.ServiceTime()
+        self.occupancy = estimates.Occupancy()
+        self.waiting = 0
+        self._turns = 0
+        self._lanes_by_caller: dict[str, _CallerLane] = {}
+
+    @property
+    def work_s(self) -> float:
+        """The slot time that all waiting requests ask for, in s."""
+        return self.waiting * self.service.mean_s
+
+    def below_floor(self, slots: int, now: float) -> bool:
+        """Say whether the rank holds less than the slots kept for it.
+
+        Both its average and what it holds now count: a rank that was idle may
+        not take more slots at one time than its floor comes to.
+        """
+        kept = self.rule.floor * slots
+        if self.occupancy.busy >= math.ceil(kept):
+            return False
+        return self.occupancy.average(now) < kept
+
+    def work_ahead(self, entry: Entry) -> float:
+        """Return the slot time asked for by what is served before an entry, in s."""
+        own = self._lanes_by_caller.get(entry.caller)
+        before = 0 if own is None else bisect.bisect(own.entries, _key(entry), key=_key)
+        # While the caller's earlier requests are served, others take turns.
+        others = sum(
+            min(len(lane.entries), before + 1)
+            for lane in self._lanes_by_caller.values()
+            if lane is not own
+        )
+        return (before + others) * self.service.mean_s
+
+    # -----------------------------------------------------------------------
+    #   Changes
+    # -----------------------------------------------------------------------
+
+    def push(self, entry: Entry) -> None:
+        """Let a request wait."""
+        lane = self._lanes_by_caller.setdefault(entry.caller, _CallerLane(self._turns))
+        bisect.insort(lane.entries, entry, key=_key)
+        self.waiting += 1
+
+    def pop(self) -> Entry:
+        """Take out the request that comes next; one must wait."""
+        lane = min(
+            (lane for lane in self._lanes_by_caller.values() if lane.entries),
+            key=lambda lane: (lane.in_service, lane.turn),
+        )
+        self.waiting -= 1
+        return lane.entries.pop(0)
+
+    def remove(self, entry: Entry) -> bool:
+        """Take out a certain request.
+
+        :returns: whether it was waiting.
+        """
+        lane = self._lanes_by_caller.get(entry.caller)
+        if lane is None:
+            return False
+        index = bisect.bisect_left(lane.entries, _key(entry), key=_key)
+        if index == len(lane.entries) or lane.entries[index] is not entry:
+            return False
+        del lane.entries[index]
+        self.waiting -= 1
+        self._forget_idle(entry.caller)
+        return True
+
+    def last(self) -> Entry:
+        """Return the request to be shed first; one must wait.
+
+        :returns: the latest deadline of the caller with most requests waiting.
+        """
+        lanes = self._lanes_by_caller.values()
+        return max(lanes, key=lambda lane: len(lane.entries)).entries[-1]
+
+    def waiting_of(self, caller: str) -> int:
+        """Return how many requests of a caller wait."""
+        lane = self._lanes_by_caller.get(caller)
+        return 0 if lane is None else len(lane.entries)
+
+    def begin(self, entry: Entry, now: float) -> None:
+        """Note that a request that was taken out holds a slot."""
+        self._turns += 1
+        lane = self._lanes_by_caller[entry.caller]
+        lane.in_service += 1
+        lane.turn = self._turns
+        self.occupancy.change(1, now)
+
+    def end(self, entry: Entry, held_s: float, now: float) -> None:
+        """Note that a request gave its slot back."""
+        self._lanes_by_caller[entry.caller].in_service -= 1
+        self.occupancy.change(-1, now)
+        self.service.add(held_s)
+        self._forget_idle(entry.caller)
+
+    def forget(self, entry: Entry) -> None:
+        """Note that a request that was taken out will not run."""
+        self._forget_idle(entry.caller)
+
+    def _forget_idle(self, caller: str) -> None:
+        lane = self._lanes_by_caller[caller]
+        if not lane.entries and not lane.in_service:
+            del self._lanes_by_caller[caller]
+
+
+def _key(entry: Entry) -> tuple[float, int]:
+    return (entry.deadline, entry.sequence)
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,182 @@
+import threading
+import time
+
+import pytest
+
+from savoryhollow import calls, errors
+from savoryhollow.admission import gate as gate_module
+from savoryhollow.admission import lanes, queueing
+from savoryhollow.backend import client
+from savoryhollow.recovery import register
+from savoryhollow.wire import messages
+
+RULES = {
+    "urgent": lanes.RankRule(order=0, floor=0.3, worth=10),
+    "late": lanes.RankRule(order=1, floor=0.1, worth=1),
+}
+# Long enough for a busy machine, in s.
+LIMIT_S = 20.0
+
+
+class FakeBackend:
+    """Runs a request until it is let go."""
+
+    def __init__(self):
+        self.go = threading.Event()
+        self.ran = []
+
+    def run(self, call, deadline):
+        self.ran.append(call.request_id)
+        assert self.go.wait(LIMIT_S)
+        return client.BackendAnswer(200, (), call.request_id.encode())
+
+
+@pytest.fixture
+def backend():
+    fake = FakeBackend()
+    yield fake
+    fake.go.set()
+
+
+@pytest.fixture
+def gate(backend):
+    queue = queueing.AdmissionQueue(1, 2, RULES)
+    return gate_module.Gate(queue, register.OutcomeRegister(), backend.run)
+
+
+class Serving(threading.Thread):
+    """One call inside the gate."""
+
+    def __init__(self, gate, request_id, rank="urgent", remaining_s=LIMIT_S):
+        super().__init__(daemon=True)
+        self.gate = gate
+        self.call = make_call(request_id, rank, remaining_s)
+        self.answer = None
+        self.start()
+
+    def run(self):
+        self.answer = self.gate.serve(self.call)
+
+    def ended(self):
+        self.join(LIMIT_S)
+        return self.answer
+
+
+def make_call(request_id, rank, remaining_s=LIMIT_S):
+    remaining_us = int(remaining_s * 1e6)
+    return messages.CallMessage(
+        request_id, "s", rank, "a", remaining_us, True, 0, 1, "GET", "/", (), b""
+    )
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.001)
+
+
+def hold_slot(gate, backend):
+    holder = Serving(gate, "holder")
+    wait_until(lambda: backend.ran == ["holder"])
+    return holder
+
+
+def test_a_waiting_request_is_served_once_the_slot_is_free(gate, backend):
+    holder = hold_slot(gate, backend)
+    waiting = Serving(gate, "waiting")
+    wait_until(lambda: gate.report().queued == 1)
+    backend.go.set()
+    assert holder.ended().body == b"holder"
+    assert waiting.ended().body == b"waiting"
+    assert gate.report().busy == 0
+
+
+def test_a_cancelled_request_that_waits_is_not_run(gate, backend):
+    hold_slot(gate, backend)
+    waiting = Serving(gate, "waiting")
+    wait_until(lambda: gate.report().queued == 1)
+    gate.answer_aside(messages.CancelMessage("waiting"))
+    assert waiting.ended().reason is calls.NotRunReason.CANCELLED
+    backend.go.set()
+    resolution = gate.resolve(messages.ResolveMessage("waiting"))
+    assert resolution.state is messages.ResolutionState.BARRED
+    assert backend.ran == ["holder"]
+
+
+def test_a_request_that_runs_is_not_cancelled(gate, backend):
+    holder = hold_slot(gate, backend)
+    gate.cancel("holder")
+    backend.go.set()
+    assert holder.ended().body == b"holder"
+
+
+def test_an_urgent_request_takes_the_place_of_one_of_lower_worth(gate, backend):
+    hold_slot(gate, backend)
+    late = []
+    for number in range(2):
+        late.append(Serving(gate, f"late-{number}", "late"))
+        wait_until(lambda: gate.report().queued == len(late))
+    urgent = Serving(gate, "urgent")
+    wait_until(lambda: any(serving.answer for serving in late))
+    shed = next(serving for serving in late if serving.answer)
+    assert shed.answer.reason is calls.NotRunReason.OVERLOADED
+    backend.go.set()
+    assert urgent.ended().body == b"urgent"
+    assert shed.call.request_id not in backend.ran
+
+
+def test_a_request_is_refused_while_its_caller_has_time_left(backend):
+    queue = queueing.AdmissionQueue(50, 2, RULES)
+    for number in range(51):
+        holder = lanes.Entry(f"holder-{number}", "urgent", "a", 1e12)
+        queue.offer(holder, 0.0)
+        assert queue.take(0.0) is holder
+        if number == 0:
+            # From now on a service is taken to last some 15 s.
+            queue.release(holder, 50.0, 0.0)
+    gate = gate_module.Gate(queue, register.OutcomeRegister(), backend.run)
+    started = time.monotonic()
+    answer = gate.serve(make_call("refused", "urgent", remaining_s=15.5))
+    assert answer.reason is calls.NotRunReason.DEADLINE
+    assert time.monotonic() < started + 15.0
+    assert backend.ran == []
+
+
+def test_a_failure_of_the_backend_server_gives_its_slot_back(gate, backend):
+    def fail(call, deadline):
+        raise errors.BackendError("gone; start it", started=False)
+
+    gate._run_backend = fail
+    answer = gate.serve(make_call("first", "urgent"))
+    assert answer.reason is calls.NotRunReason.UNREACHABLE
+    assert gate.report().busy == 0
+
+
+def test_a_leaving_gate_ends_what_waits_and_takes_nothing_new(gate, backend):
+    holder = hold_slot(gate, backend)
+    waiting = Serving(gate, "waiting")
+    wait_until(lambda: gate.report().queued == 1)
+    drained = []
+    drain = threading.Thread(
+        target=lambda: drained.append(gate.drain(time.monotonic() + LIMIT_S))
+    )
+    drain.start()
+    wait_until(lambda: gate.leaving)
+    refused = gate.serve(make_call("new", "urgent"))
+    assert refused.reason is calls.NotRunReason.LEAVING
+    backend.go.set()
+    assert holder.ended().body == b"holder"
+    assert waiting.ended().body == b"waiting"
+    drain.join(LIMIT_S)
+    assert drained == [True]
+
+
+def test_a_wider_limit_of_slots_lets_waiting_requests_in(gate, backend):
+    hold_slot(gate, backend)
+    waiting = Serving(gate, "waiting")
+    wait_until(lambda: gate.report().queued == 1)
+    gate.resize(2)
+    wait_until(lambda: "waiting" in backend.ran)
+    backend.go.set()
+    assert waiting.ended().body == b"waiting"
--- /dev/null
+++ b/tests/test_queueing.py
@@ -0,0 +1,264 @@
+import collections
+import heapq
+import itertools
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from savoryhollow import calls
+from savoryhollow.admission import lanes, queueing
+
+RULES = {
+    "urgent": lanes.RankRule(order=0, floor=0.3, worth=10),
+    "ordinary": lanes.RankRule(order=1, floor=0.2, worth=5),
+    "late": lanes.RankRule(order=2, floor=0.1, worth=1),
+}
+NUMBERS = itertools.count()
+
+
+def entry(rank="urgent", caller="a", deadline=1e6):
+    return lanes.Entry(f"r{next(NUMBERS)}", rank, caller, deadline)
+
+
+def full_queue(limit=10, rules=RULES):
+    """A queue whose slot is held by a request of the middle rank."""
+    queue = queueing.AdmissionQueue(1, limit, rules)
+    held = entry("ordinary")
+    assert queue.offer(held, 0.0) is None
+    assert queue.take(0.0) is held
+    return queue, held
+
+
+def served_order(queue, held, count, now=0.0):
+    order = []
+    for _ in range(count):
+        queue.release(held, 0.01, now)
+        held = queue.take(now)
+        order.append(held)
+    return order
+
+
+def run_flood(rates_by_rank, slots=9, service_s=0.04, duration_s=30.0, seed=1, rules=0):
+    """Run the queue in virtual time; return the slot time served by rank."""
+    rng = random.Random(seed)
+    queue = queueing.AdmissionQueue(slots, 64, rules or RULES)
+    events = []
+    sequence = itertools.count()
+    for rank, rate in rates_by_rank.items():
+        at = 0.0
+        while (at := at + rng.expovariate(rate)) < duration_s:
+            heapq.heappush(events, (at, next(sequence), rank, None))
+    served_s = collections.Counter()
+    refused = collections.Counter()
+    waits_by_rank = collections.defaultdict(list)
+    while events:
+        now, _, rank, held = heapq.heappop(events)
+        if held is None:
+            arrival = entry(rank, deadline=now + 1.0)
+            turned_away = queue.offer(arrival, now)
+            if turned_away is not None:
+                refused[turned_away.rank] += 1
+        else:
+            started, running = held
+            queue.release(running, now - started, now)
+            served_s[rank] += now - started
+        while (granted := queue.take(now)) is not None:
+            if granted.refusal is not None:
+                refused[granted.rank] += 1
+                continue
+            waits_by_rank[granted.rank].append(now - granted.deadline + 1.0)
+            ends = now + service_s * rng.uniform(0.5, 1.5)
+            event = (ends, next(sequence), granted.rank, (now, granted))
+            heapq.heappush(events, event)
+        assert 0 <= queue.busy <= slots
+        assert queue.waiting <= queue.limit
+    capacity_s = slots * duration_s
+    shares = {rank: served_s[rank] / capacity_s for rank in rates_by_rank}
+    return shares, refused, waits_by_rank
+
+
+def test_the_most_urgent_rank_comes_next_whatever_its_deadline():
+    queue, held = full_queue(
+        rules={n: lanes.RankRule(r.order, 0.0, r.worth) for n, r in RULES.items()}
+    )
+    for rank, deadline in (("late", 10), ("ordinary", 20), ("urgent", 30)):
+        queue.offer(entry(rank, deadline=deadline), 0.0)
+    order = served_order(queue, held, 3)
+    assert [e.rank for e in order] == ["urgent", "ordinary", "late"]
+
+
+def test_the_earliest_deadline_of_a_caller_comes_next():
+    queue, held = full_queue()
+    for deadline in (30, 10, 20):
+        queue.offer(entry(deadline=deadline), 0.0)
+    order = served_order(queue, held, 3)
+    assert [e.deadline for e in order] == [10, 20, 30]
+
+
+def test_a_caller_that_floods_a_rank_does_not_hold_up_the_others():
+    queue, held = full_queue(limit=40)
+    for _ in range(20):
+        queue.offer(entry(caller="flood", deadline=5), 0.0)
+    queue.offer(entry(caller="b", deadline=9), 0.0)
+    queue.offer(entry(caller="c", deadline=9), 0.0)
+    callers = [e.caller for e in served_order(queue, held, 4)]
+    assert set(callers[:3]) == {"flood", "b", "c"}
+
+
+def test_new_callers_without_end_do_not_starve_an_old_one():
+    queue, held = full_queue(limit=40)
+    for _ in range(10):
+        queue.offer(entry(caller="old", deadline=100), 0.0)
+    callers = []
+    for number in range(12):
+        queue.offer(entry(caller=f"new-{number}", deadline=5), 0.0)
+        queue.offer(entry(caller=f"next-{number}", deadline=5), 0.0)
+        held = served_order(queue, held, 1)[0]
+        callers.append(held.caller)
+    assert callers.count("old") >= 2
+
+
+def test_a_request_that_can_not_end_in_time_is_refused_at_once():
+    queue, _ = full_queue(limit=1000)
+    for _ in range(100):
+        queue.offer(entry(deadline=0.4), 0.0)
+    doomed = entry(deadline=0.4)
+    assert queue.offer(doomed, 0.0) is doomed
+    assert doomed.refusal is calls.NotRunReason.DEADLINE
+
+
+def test_less_urgent_work_does_not_count_into_the_wait_of_urgent_work():
+    rules = RULES | {"urgent": lanes.RankRule(order=0, floor=0.0, worth=10)}
+    queue, _ = full_queue(limit=1000, rules=rules)
+    for _ in range(500):
+        queue.offer(entry("late"), 0.0)
+    assert queue.offer(entry("urgent", deadline=0.1), 0.0) is None
+
+
+def test_a_full_queue_sheds_the_lowest_worth_first():
+    queue, _ = full_queue(limit=10)
+    for _ in range(10):
+        queue.offer(entry("late"), 0.0)
+    shed = queue.offer(entry("urgent"), 0.0)
+    assert shed.rank == "late"
+    assert shed.refusal is calls.NotRunReason.OVERLOADED
+    assert queue.waiting == 10
+
+
+def test_a_full_queue_keeps_places_for_each_floor():
+    queue, _ = full_queue(limit=10)
+    for _ in range(10):
+        queue.offer(entry("urgent"), 0.0)
+    assert queue.offer(entry("late"), 0.0).rank == "urgent"
+    refused = entry("late")
+    assert queue.offer(refused, 0.0) is refused
+    assert refused.refusal is calls.NotRunReason.QUEUE_FULL
+
+
+def test_a_full_queue_takes_a_place_from_the_caller_with_most():
+    queue, _ = full_queue(limit=4)
+    for deadline in (1, 2, 3, 4):
+        queue.offer(entry(caller="flood", deadline=deadline), 0.0)
+    shed = queue.offer(entry(caller="b"), 0.0)
+    assert (shed.caller, shed.deadline) == ("flood", 4)
+
+
+def test_fewer_slots_are_obeyed_once_requests_end():
+    queue = queueing.AdmissionQueue(2, 10, RULES)
+    running = []
+    for _ in range(4):
+        queue.offer(entry(), 0.0)
+    while (granted := queue.take(0.0)) is not None:
+        running.append(granted)
+    queue.resize(1)
+    queue.release(running[0], 0.01, 0.01)
+    assert queue.take(0.01) is None
+    queue.release(running[1], 0.01, 0.01)
+    assert queue.take(0.01) is not None
+    queue.resize(0)
+    refused = entry()
+    assert queue.offer(refused, 0.01) is refused
+
+
+def test_a_rank_taken_out_of_the_rules_is_refused_and_what_waits_is_served():
+    queue, held = full_queue()
+    waiting = entry("late")
+    queue.offer(waiting, 0.0)
+    queue.configure(10, {"urgent": RULES["urgent"]})
+    refused = queue.offer(entry("late"), 0.0)
+    assert refused.refusal is calls.NotRunReason.UNKNOWN_RANK
+    assert served_order(queue, held, 1) == [waiting]
+
+
+@pytest.mark.parametrize("flooded", ["urgent", "ordinary", "late"])
+def test_each_rank_keeps_its_floor_in_a_flood_of_any_other(flooded):
+    # Each rank asks for a little more than its floor, the flooded one for thrice
+    # the capacity.
+    capacity = 9 / 0.04
+    rates = {rank: capacity * rule.floor * 1.2 for rank, rule in RULES.items()}
+    rates[flooded] = 3 * capacity
+    shares, _, _ = run_flood(rates)
+    assert sum(shares.values()) >= 0.95
+    for rank, rule in RULES.items():
+        assert shares[rank] >= rule.floor, rank
+
+
+def test_urgent_work_does_not_notice_a_flood_of_the_least_urgent():
+    capacity = 9 / 0.04
+    rates = {"urgent": 0.4 * capacity, "late": 3 * capacity}
+    shares, refused, waits = run_flood(rates)
+    assert refused["urgent"] == 0
+    assert sorted(waits["urgent"])[int(0.99 * len(waits["urgent"]))] < 0.04
+    assert sum(shares.values()) >= 0.95
+
+
+ARRIVALS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(sorted(RULES)),
+        strategies.sampled_from("abc"),
+        strategies.floats(0.001, 2.0),
+        strategies.sampled_from(["offer", "release", "withdraw"]),
+    ),
+    max_size=60,
+)
+
+
+@hypothesis.settings(derandomize=True, max_examples=150, deadline=None)
+@hypothesis.given(ARRIVALS, strategies.integers(1, 3), strategies.integers(0, 8))
+def test_every_request_is_settled_once(steps, slots, limit):
+    queue = queueing.AdmissionQueue(slots, limit, RULES)
+    now, running, waiting, settled = 0.0, [], {}, collections.Counter()
+
+    def settle(turned_away):
+        if turned_away is not None:
+            assert turned_away.refusal is not None
+            settled[turned_away.request_id] += 1
+            waiting.pop(turned_away.request_id, None)
+
+    for rank, caller, span, step in steps:
+        now += span / 10
+        if step == "offer":
+            arrival = entry(rank, caller, now + span)
+            waiting[arrival.request_id] = arrival
+            settle(queue.offer(arrival, now))
+        elif step == "release" and running:
+            queue.release(running.pop(0), span / 10, now)
+        elif step == "withdraw" and waiting:
+            chosen = next(iter(waiting.values()))
+            assert queue.withdraw(chosen, calls.NotRunReason.CANCELLED)
+            assert not queue.withdraw(chosen, calls.NotRunReason.CANCELLED)
+            settle(chosen)
+        while (granted := queue.take(now)) is not None:
+            if granted.refusal is not None:
+                settle(granted)
+                continue
+            settled[granted.request_id] += 1
+            del waiting[granted.request_id]
+            running.append(granted)
+        assert queue.busy == len(running) <= slots
+        assert queue.waiting == len(waiting) <= limit
+        # No slot stays free while a request waits.
+        assert queue.busy == slots or not waiting
+    assert all(count == 1 for count in settled.values())
