--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -15,7 +15,7 @@
 from savoryhollow.membership import table
 from savoryhollow.observe import events, operator_port, placements
 from savoryhollow.recovery import register
-from savoryhollow.routing import peers, placement, router
+from savoryhollow.routing import limiting, peers, placement, router
 from savoryhollow.settings import models as settings_models
 from savoryhollow.store import client as store_client
 from savoryhollow.store import reader
@@ -109,6 +109,7 @@
             policy,
             self.placements.add,
         )
+        self._limited = limiting.LimitedRoute(settings.front_threads, self.router.route)
 
     def _build_store(self) -> None:
         settings = self.settings
@@ -133,7 +134,9 @@
             settings.front_threads,
             settings.max_body_bytes,
             front_service.make_handler(
-                lambda: self.router.configuration, self.router.route, self.router.redeem
+                lambda: self.router.configuration,
+                self._limited.route,
+                self.router.redeem,
             ),
         )
         self._operator = webserver.WebServer(
@@ -151,6 +154,7 @@
         )
 
     def _configure(self, configuration: models.Configuration) -> None:
+        self._limited.configure(configuration)
         self.router.configure(configuration)
         own = configuration.services.get(self.settings.service)
         if own is not None:
--- /dev/null
+++ b/src/savoryhollow/routing/limiting.py
@@ -0,0 +1,49 @@
+"""Refuse calls that would take the threads of more urgent ones."""
+
+import collections.abc
+import threading
+
+from savoryhollow import calls
+from savoryhollow.configuration import models
+from savoryhollow.recovery import retrying
+from savoryhollow.routing import concurrency
+
+__all__ = ["LimitedRoute"]
+
+Route = collections.abc.Callable[[calls.Call], calls.Outcome]
+
+
+class LimitedRoute:
+    """Stands between the front and the router.
+
+    :param threads: the threads of the front.
+    :param route: takes a call to an endpoint.
+    """
+
+    def __init__(self, threads: int, route: Route):
+        self._limits = concurrency.ConcurrencyLimits(threads)
+        self._route = route
+        self._lock = threading.Lock()
+
+    def configure(self, configuration: models.Configuration) -> None:
+        """Put a configuration in force; calls in progress go on."""
+        with self._lock:
+            self._limits.configure(configuration)
+
+    def route(self, call: calls.Call) -> calls.Outcome:
+        """Route a call, or refuse it at once as not run.
+
+        :param call: the call.
+        :returns: its outcome.
+        """
+        key = concurrency.RankKey(call.service, call.rank)
+        with self._lock:
+            begun = self._limits.begin(key)
+        if not begun:
+            reason = calls.NotRunReason.OVERLOADED
+            return calls.NotRun(call.request_id, reason, retrying.RETRY_AFTER_MS)
+        try:
+            return self._route(call)
+        finally:
+            with self._lock:
+                self._limits.end(key)
--- /dev/null
+++ b/tests/test_concurrency.py
@@ -0,0 +1,105 @@
+import hypothesis
+from hypothesis import strategies
+
+from savoryhollow import calls
+from savoryhollow.configuration import acceptance
+from savoryhollow.routing import concurrency, limiting
+
+CONFIGURATION = acceptance.accept(
+    {
+        "10.json": """{"services": {
+  "a": {"share": 0.5, "ranks": {
+    "urgent": {"order": 0, "floor": 0.4},
+    "late": {"order": 2, "floor": 0.2}}},
+  "b": {"share": 0.5, "ranks": {
+    "urgent": {"order": 0, "floor": 0.4},
+    "late": {"order": 1, "floor": 0.2}}}}}"""
+    }
+)
+THREADS = 96
+KEYS = [
+    concurrency.RankKey(service, rank)
+    for service in ("a", "b")
+    for rank in ("urgent", "late")
+]
+
+
+def make_limits(threads=THREADS):
+    limits = concurrency.ConcurrencyLimits(threads)
+    limits.configure(CONFIGURATION)
+    return limits
+
+
+def fill(limits, key):
+    count = 0
+    while limits.begin(key):
+        count += 1
+    return count
+
+
+def test_a_flood_of_the_least_urgent_rank_leaves_more_urgent_ones_their_share():
+    limits = make_limits()
+    assert fill(limits, concurrency.RankKey("a", "late")) <= THREADS // 2
+    assert fill(limits, concurrency.RankKey("a", "urgent")) >= 0.5 * 0.4 * 80
+
+
+def test_a_flood_of_the_most_urgent_rank_leaves_each_other_its_share():
+    limits = make_limits()
+    fill(limits, concurrency.RankKey("a", "urgent"))
+    assert fill(limits, concurrency.RankKey("a", "late")) >= 0.5 * 0.2 * 80
+    assert fill(limits, concurrency.RankKey("b", "late")) >= 0.5 * 0.2 * 80
+    assert fill(limits, concurrency.RankKey("b", "urgent")) >= 0.5 * 0.4 * 80
+
+
+def test_threads_are_left_to_refuse_with():
+    limits = make_limits()
+    for key in KEYS * 2:
+        fill(limits, key)
+    assert limits.in_progress <= THREADS * (1 - concurrency.SPARE_SHARE)
+
+
+def test_a_call_of_an_unknown_rank_is_left_to_the_router():
+    limits = make_limits()
+    unknown = concurrency.RankKey("a", "unheard-of")
+    assert limits.begin(unknown)
+    limits.end(unknown)
+    assert limits.in_progress == 0
+
+
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.given(
+    strategies.lists(strategies.sampled_from([*KEYS, "end", "configure"])),
+    strategies.integers(2, 40),
+)
+def test_counts_stay_true_and_within_the_threads(steps, threads):
+    limits = make_limits(threads)
+    begun = []
+    for step in steps:
+        if step == "configure":
+            limits.configure(CONFIGURATION)
+        elif step == "end" and begun:
+            limits.end(begun.pop(0))
+        elif step != "end" and limits.begin(step):
+            begun.append(step)
+        assert limits.in_progress == len(begun) <= threads
+    for key in begun:
+        limits.end(key)
+    fresh = make_limits(threads)
+    for key in KEYS:
+        assert fill(limits, key) == fill(fresh, key)
+
+
+def test_a_refused_call_is_answered_at_once_as_not_run():
+    nested = []
+
+    def route(call):
+        nested.append(call.request_id)
+        return limited.route(call)
+
+    limited = limiting.LimitedRoute(THREADS, route)
+    limited.configure(CONFIGURATION)
+    call = calls.Call("r", "a", "late", "c", 1e9, True, 0, 1, "GET", "/", (), b"")
+    outcome = limited.route(call)
+    assert isinstance(outcome, calls.NotRun)
+    assert outcome.reason is calls.NotRunReason.OVERLOADED
+    assert 1 < len(nested) <= THREADS // 2
