--- a/src/savoryhollow/routing/concurrency.py
+++ b/src/savoryhollow/routing/concurrency.py
@@ -16,6 +16,8 @@
 SPARE_SHARE = 0.125
 # Share of the other threads that is open to the least urgent rank.
 LEAST_SHARE = 0.5
+# Share of the other threads that is kept for the floors of all ranks.
+KEPT_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +74,7 @@
         self._limits_by_key = {
             RankKey(service_name, name): _RankLimit(
                 rank.order,
-                int(service.share * rank.floor * self._usable),
+                int(service.share * rank.floor * KEPT_SHARE * self._usable),
                 _ceiling(self._usable, orders.index(rank.order), len(orders)),
             )
             for service_name, service in configuration.services.items()
