--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the project; each module is a command of its own."""
+"""Measurements of the whole system, on real processes."""
