Keep small floors for long work too

A floor of 0.9 slots allowed one service at a time, so the gap until the next slot was free was never made up for. And the expected wait of a rank always counted one more service, also while its next turn was due; with 400 ms services and 1 s deadlines nearly all of it was refused at once.

Change: a rank may hold half a slot more than its floor, rounded up, while its average is below it; and a rank below its floor is taken to come next.

At 400 ms and 1 s deadlines there is half a service's time to wait, so what arrives while the floor is used up can't be kept.

--- a/src/savoryhollow/admission/lanes.py
+++ b/src/savoryhollow/admission/lanes.py
@@ -14,6 +14,9 @@
 
 __all__ = ["Entry", "RankLane", "RankRule"]
 
+# Slots that a rank may hold beyond its floor while its average is below it.
+SPARE_SLOTS = 0.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankRule:
@@ -83,10 +86,11 @@
         """Say whether the rank holds less than the slots kept for it.
 
         Both its average and what it holds now count: a rank that was idle may
-        not take more slots at one time than its floor comes to.
+        not take many more slots at one time than its floor comes to. The spare
+        part makes up for the time between two of its services.
         """
         kept = self.rule.floor * slots
-        if self.occupancy.busy >= math.ceil(kept):
+        if self.occupancy.busy >= math.ceil(kept + SPARE_SLOTS):
             return False
         return self.occupancy.average(now) < kept
 
--- a/src/savoryhollow/admission/queueing.py
+++ b/src/savoryhollow/admission/queueing.py
@@ -224,8 +224,9 @@
         kept = sum(other.rule.floor for other in lower if other.waiting)
         first_free_s = self.service_s / self.slots
         by_order_s = _time(own_s + higher_s, self.slots * (1 - used - kept))
-        # One more service, as the floor's next turn may just have gone.
-        turns_s = own_s + lane.service.mean_s
+        # Above its floor, the rank has to wait for a service of its own to end.
+        below = lane.below_floor(self.slots, now)
+        turns_s = own_s if below else own_s + lane.service.mean_s
         by_floor_s = _time(turns_s, self.slots * lane.rule.floor)
         return first_free_s + min(by_order_s, by_floor_s)
 
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -40,10 +40,11 @@
     return order
 
 
-def run_flood(rates_by_rank, slots=9, service_s=0.04, duration_s=30.0, seed=1, rules=0):
+def run_flood(rates_by_rank, service_s=0.04, deadline_s=1.0, duration_s=30.0, seed=1):
     """Run the queue in virtual time; return the slot time served by rank."""
     rng = random.Random(seed)
-    queue = queueing.AdmissionQueue(slots, 64, rules or RULES)
+    slots = 9
+    queue = queueing.AdmissionQueue(slots, 64, RULES)
     events = []
     sequence = itertools.count()
     for rank, rate in rates_by_rank.items():
@@ -56,7 +57,7 @@
     while events:
         now, _, rank, held = heapq.heappop(events)
         if held is None:
-            arrival = entry(rank, deadline=now + 1.0)
+            arrival = entry(rank, deadline=now + deadline_s)
             turned_away = queue.offer(arrival, now)
             if turned_away is not None:
                 refused[turned_away.rank] += 1
@@ -68,7 +69,7 @@
             if granted.refusal is not None:
                 refused[granted.rank] += 1
                 continue
-            waits_by_rank[granted.rank].append(now - granted.deadline + 1.0)
+            waits_by_rank[granted.rank].append(now - granted.deadline + deadline_s)
             ends = now + service_s * rng.uniform(0.5, 1.5)
             event = (ends, next(sequence), granted.rank, (now, granted))
             heapq.heappush(events, event)
@@ -137,6 +138,14 @@
     assert queue.offer(entry("urgent", deadline=0.1), 0.0) is None
 
 
+def test_a_rank_below_its_floor_is_taken_to_come_next():
+    queue = queueing.AdmissionQueue(9, 100, RULES)
+    for _ in range(60):
+        queue.offer(entry("urgent"), 0.0)
+        queue.take(0.0)
+    assert queue.offer(entry("late", deadline=0.02), 0.0) is None
+
+
 def test_a_full_queue_sheds_the_lowest_worth_first():
     queue, _ = full_queue(limit=10)
     for _ in range(10):
@@ -205,6 +214,17 @@
         assert shares[rank] >= rule.floor, rank
 
 
+@pytest.mark.parametrize("service_s", [0.04, 0.2, 0.4])
+def test_a_floor_is_kept_for_work_of_any_length(service_s):
+    capacity = 9 / service_s
+    rates = {rank: capacity * rule.floor * 1.5 for rank, rule in RULES.items()}
+    rates["urgent"] = 3 * capacity
+    # A service is taken to last up to twice its mean; this leaves time to wait.
+    shares, _, _ = run_flood(rates, service_s, 5 * service_s, duration_s=60.0)
+    for rank, rule in RULES.items():
+        assert shares[rank] >= 0.97 * rule.floor, rank
+
+
 def test_urgent_work_does_not_notice_a_flood_of_the_least_urgent():
     capacity = 9 / 0.04
     rates = {"urgent": 0.4 * capacity, "late": 3 * capacity}
