--- a/src/savoryhollow/admission/gate.py
+++ b/src/savoryhollow/admission/gate.py
@@ -67,24 +67,48 @@
     # -----------------------------------------------------------------------
 
     def serve(self, call: messages.CallMessage) -> GateAnswer:
-        """Run a call on the backend server, or say truthfully what happened.
+        """Run a call of this process, or say truthfully what happened.
 
         :param call: the call, with the time that remains for it.
         :returns: the answer; it is remembered until its deadline.
         """
-        now = time.monotonic()
-        deadline = now + call.remaining_us / 1e6
-        if not self._outcomes.begin(call.request_id, deadline, now):
-            return self._refuse(call, calls.NotRunReason.BARRED)
-        with self._lock:
-            self._in_progress += 1
+        return self.begin(call, None)()
+
+    def begin(
+        self, call: messages.CallMessage, connection: register.Connection | None
+    ) -> collections.abc.Callable[[], GateAnswer]:
+        """Note that a call has arrived.
+
+        :param call: the call, with the time that remains for it.
+        :param connection: carried the call; None for a call of this process.
+        :returns: a function that runs the call, or says truthfully what
+            happened to it.
+        """
+        deadline = time.monotonic() + call.remaining_us / 1e6
+        beginning = self._outcomes.begin(call.request_id, connection, deadline)
+        if beginning is register.Beginning.ACCEPTED:
+            with self._lock:
+                self._in_progress += 1
+            return lambda: self._serve(call, deadline)
+        if beginning is register.Beginning.DUPLICATE:
+            text = "the id is in use here"
+            return lambda: messages.UnknownMessage(call.request_id, text, self.report())
+        if beginning is register.Beginning.FULL:
+            return lambda: self._refuse(call, calls.NotRunReason.OVERLOADED)
+        return lambda: self._refuse(call, calls.NotRunReason.BARRED)
+
+    def _serve(self, call, deadline) -> GateAnswer:
         try:
             answer = self._admit_and_run(call, deadline)
-        finally:
-            with self._lock:
-                self._in_progress -= 1
-                self._idle.notify_all()
+        except Exception as error:
+            # The backend server may have been reached before the fault.
+            text = f"the daemon failed: {error!r}; report it"
+            answer = messages.UnknownMessage(call.request_id, text, self.report())
+        # Known first: who finds the call gone finds its outcome too.
         self._outcomes.finish(call.request_id, answer, time.monotonic())
+        with self._lock:
+            self._in_progress -= 1
+            self._idle.notify_all()
         return answer
 
     def _admit_and_run(self, call, deadline) -> GateAnswer:
@@ -94,6 +118,9 @@
             return self._refuse(call, entry.refusal)
         started = time.monotonic()
         try:
+            if started >= deadline:
+                # This process was paused after the slot was granted.
+                return self._refuse(call, calls.NotRunReason.DEADLINE)
             answer = self._run_backend(call, deadline)
         except errors.BackendError as error:
             if not error.started:
@@ -149,11 +176,16 @@
     def _settle(self, request_id: str) -> None:
         self._admissions_by_id.pop(request_id).settled.set()
 
-    def _withdraw(self, request_id: str, reason: calls.NotRunReason) -> None:
+    def _withdraw(self, request_id, reason) -> lanes.Entry | None:
+        """Take a request out of the queue; return it if it waited."""
         with self._lock:
             admission = self._admissions_by_id.get(request_id)
-            if admission is not None and self._queue.withdraw(admission.entry, reason):
-                self._settle(request_id)
+            if admission is None:
+                return None
+            if not self._queue.withdraw(admission.entry, reason):
+                return None
+            self._settle(request_id)
+            return admission.entry
 
     def _release(self, entry: lanes.Entry, started: float) -> None:
         now = time.monotonic()
@@ -184,25 +216,53 @@
     #   Other messages
     # -----------------------------------------------------------------------
 
-    def answer_aside(self, message: messages.Message) -> messages.Message | None:
+    def answer_aside(
+        self, message: messages.Message, connection: register.Connection
+    ) -> messages.Message | None:
         """Answer a message that asks for no slot.
 
         :param message: a cancellation or a resolve request.
+        :param connection: carried the message.
         :returns: the answer, or None where there is none.
         """
         if isinstance(message, messages.CancelMessage):
             self.cancel(message.request_id)
         elif isinstance(message, messages.ResolveMessage):
-            return self.resolve(message)
+            return self.resolve(message, connection)
         return None
 
-    def resolve(self, message: messages.ResolveMessage) -> messages.ResolutionMessage:
-        """Say what became of a request; one never seen is barred from now on."""
-        return self._outcomes.resolve(message.request_id, time.monotonic())
+    def resolve(
+        self, message: messages.ResolveMessage, connection: register.Connection | None
+    ) -> messages.ResolutionMessage:
+        """Say what became of a request; one that never arrived never will.
+
+        :param message: names the request and where it entered.
+        :param connection: carried the message; None for one of this process.
+        :returns: the state and, for a finished request, its answer.
+        """
+        return self._outcomes.resolve(message, connection, time.monotonic())
+
+    def open_connection(
+        self, session: str, number: int, close: collections.abc.Callable[[], None]
+    ) -> register.Connection:
+        """Note a connection of another daemon; see :class:`OutcomeRegister`."""
+        return self._outcomes.open(session, number, close)
+
+    def close_connection(self, connection: register.Connection) -> None:
+        """Note that a connection of another daemon has ended."""
+        self._outcomes.close(connection)
+
+    def stop_accepting(self, connection: register.Connection) -> int | None:
+        """Accept no further call; return the number of the last accepted."""
+        return self._outcomes.stop_accepting(connection)
 
     def cancel(self, request_id: str) -> None:
         """Withdraw a request that still waits; one that runs is left to end."""
-        self._withdraw(request_id, calls.NotRunReason.CANCELLED)
+        entry = self._withdraw(request_id, calls.NotRunReason.CANCELLED)
+        if entry is not None:
+            # Told at once, for the question that follows a cancellation.
+            refused = self._refuse(entry, calls.NotRunReason.CANCELLED)
+            self._outcomes.finish(request_id, refused, time.monotonic())
 
     def report(self) -> messages.LoadReport:
         """Return the load of the backend server as it is now."""
@@ -211,12 +271,18 @@
         return messages.LoadReport(
             queue.busy,
             queue.waiting,
-            queue.slots,
+            # Routers divide by it; a gate without slots refuses by itself.
+            max(1, queue.slots),
             service_us,
             self.leaving,
             queue.waiting_by_order,
         )
 
+    def leave(self) -> None:
+        """Refuse every new call from now on."""
+        with self._lock:
+            self.leaving = True
+
     def drain(self, deadline: float) -> bool:
         """Refuse new calls and wait until those in progress have ended.
 
--- a/src/savoryhollow/wire/codec.py
+++ b/src/savoryhollow/wire/codec.py
@@ -27,6 +27,7 @@
     messages.ResolutionMessage: 8,
     messages.CompareMessage: 9,
     messages.RelayMessage: 10,
+    messages.GoAwayMessage: 11,
 }
 CLASSES_BY_KIND = {kind: cls for cls, kind in KINDS_BY_CLASS.items()}
 
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -7,6 +7,9 @@
 import dataclasses
 import enum
 import typing
+from typing import Annotated
+
+import msgspec
 
 from savoryhollow import calls
 
@@ -16,6 +19,7 @@
     "CompareMessage",
     "DocumentText",
     "DocumentVersion",
+    "GoAwayMessage",
     "HelloMessage",
     "LoadReport",
     "Message",
@@ -30,8 +34,10 @@
     "UnknownMessage",
 ]
 
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
 # Raised whenever a message changes in a way that an older peer can't read.
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,12 +49,12 @@
         it, the most urgent order first.
     """
 
-    busy: int
-    queued: int
-    slots: int
-    service_us: int
+    busy: Count
+    queued: Count
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    service_us: Count
     leaving: bool
-    queued_by_order: tuple[int, ...] = ()
+    queued_by_order: tuple[Count, ...] = ()
 
     def queued_before(self, position: int) -> int:
         """Return the requests that a new one would find before it.
@@ -62,11 +68,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HelloMessage:
-    """The first message on a connection, sent by both ends."""
+    """The first message on a connection, sent by both ends.
+
+    :param connection: numbers the connections that this incarnation opened; 0
+        from the end that accepts.
+    """
 
     version: int
     endpoint_id: str
     incarnation: str
+    connection: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,9 +137,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResolveMessage:
-    """Asks what became of a request, and bars it if it never started."""
+    """Asks what became of a request, and bars it if it never started.
+
+    :param origin: where the request entered the inner protocol.
+    """
 
     request_id: str
+    origin: calls.Origin
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GoAwayMessage:
+    """No call after the one numbered here was or will be accepted.
+
+    :param last_number: the last call accepted on this connection.
+    """
+
+    last_number: int
 
 
 class ResolutionState(enum.StrEnum):
@@ -223,4 +248,5 @@
     | ResolutionMessage
     | CompareMessage
     | RelayMessage
+    | GoAwayMessage
 )
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -96,11 +96,14 @@
     hold_slot(gate, backend)
     waiting = Serving(gate, "waiting")
     wait_until(lambda: gate.report().queued == 1)
-    gate.answer_aside(messages.CancelMessage("waiting"))
+    connection = register.Connection("a", 1, lambda: None)
+    gate.answer_aside(messages.CancelMessage("waiting"), connection)
+    # Told already, though the thread that waits may not have woken.
+    asked = messages.ResolveMessage("waiting", calls.Origin("a", 1, 1))
+    resolution = gate.resolve(asked, connection)
+    assert resolution.state is messages.ResolutionState.BARRED
     assert waiting.ended().reason is calls.NotRunReason.CANCELLED
     backend.go.set()
-    resolution = gate.resolve(messages.ResolveMessage("waiting"))
-    assert resolution.state is messages.ResolutionState.BARRED
     assert backend.ran == ["holder"]
 
 
