--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -7,7 +7,7 @@
 
 from savoryhollow import webserver
 from savoryhollow.admission import gate as gate_module
-from savoryhollow.admission import queueing
+from savoryhollow.admission import lanes, queueing
 from savoryhollow.backend import client as backend_client
 from savoryhollow.budgets import links
 from savoryhollow.configuration import models
@@ -24,7 +24,7 @@
     vitals,
 )
 from savoryhollow.recovery import register, retrying
-from savoryhollow.routing import crossing, peers, placement, router
+from savoryhollow.routing import crossing, limiting, peers, placement, router
 from savoryhollow.settings import models as settings_models
 from savoryhollow.store import client as store_client
 from savoryhollow.store import following, topology
@@ -140,7 +140,8 @@
             self._record,
             crossing.LinkGuard(settings.region, self.link_budgets),
         )
-        self.route = self.requests.observe(self.router.route)
+        self._limited = limiting.LimitedRoute(settings.front_threads, self.router.route)
+        self.route = self.requests.observe(self._limited.route)
 
     def _build_store(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
@@ -197,11 +198,12 @@
 
     def _configure(self, configuration: models.Configuration) -> None:
         self.link_budgets.configure(configuration, time.monotonic())
+        self._limited.configure(configuration)
         self.router.configure(configuration)
         own = configuration.services.get(self.settings.service)
         if own is not None:
             rules = {
-                name: queueing.RankRule(rank.order, rank.floor, rank.worth)
+                name: lanes.RankRule(rank.order, rank.floor, rank.worth)
                 for name, rank in own.ranks.items()
             }
             self.gate.configure(own.queue_limit, rules)
