--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -13,12 +13,20 @@
 from savoryhollow.daemon import dump
 from savoryhollow.front import service as front_service
 from savoryhollow.membership import table
-from savoryhollow.observe import events, operator_port, placements
+from savoryhollow.observe import (
+    events,
+    metrics,
+    operator_port,
+    placements,
+    requests,
+    runs,
+    vitals,
+)
 from savoryhollow.recovery import register, retrying
 from savoryhollow.routing import peers, placement, router
 from savoryhollow.settings import models as settings_models
 from savoryhollow.store import client as store_client
-from savoryhollow.store import reader
+from savoryhollow.store import following, topology
 from savoryhollow.wire import messages, server
 
 __all__ = ["Daemon"]
@@ -33,27 +41,37 @@
     """The router and the gate of one instance, with their ports.
 
     :param settings: the settings of the daemon.
+    :param run_backend: runs admitted calls in place of the backend server's
+        port.
     """
 
-    def __init__(self, settings: settings_models.DaemonSettings):
+    def __init__(
+        self,
+        settings: settings_models.DaemonSettings,
+        run_backend: gate_module.RunBackend | None = None,
+    ):
         self.settings = settings
         self.incarnation = secrets.token_hex(INCARNATION_BYTES)
         self.members = table.MemberTable()
-        self.placements = placements.PlacementRing()
+        self.placements = placements.PlacementRing(settings.placement_records)
+        self.runs = runs.RunLog(settings.placement_records)
+        self.requests = requests.RequestTotals()
+        self.lag = vitals.LagMeter()
         hello = messages.HelloMessage(
             messages.PROTOCOL_VERSION, settings.endpoint_id, self.incarnation
         )
-        self._build_gate()
+        self._build_gate(run_backend)
         self._build_router(hello)
-        self._build_store()
+        self._build_store(hello)
         self._build_ports(hello)
 
     def start(self) -> None:
         """Open every port and begin to follow the platform."""
         self.router.pauses.start()
-        self._reader.start()
         self._inner.start()
+        self.holder.start()
         self._operator.start()
+        self.lag.start()
         self._front.start()
         events.emit(
             events.Event.DAEMON_STARTED,
@@ -73,9 +91,10 @@
         deadline = time.monotonic() + self.settings.drain_limit_ms / 1000
         drained = self.gate.drain(deadline)
         self._front.stop()
-        self._reader.stop()
+        self.holder.stop()
         self._inner.stop()
-        self._connections.close()
+        self.connections.close()
+        self.lag.stop()
         self._operator.stop()
         self._backend.close()
         events.emit(events.Event.DAEMON_STOPPED, drained=drained)
@@ -85,40 +104,43 @@
     #   Parts
     # -----------------------------------------------------------------------
 
-    def _build_gate(self) -> None:
+    def _build_gate(self, run_backend: gate_module.RunBackend | None) -> None:
         settings = self.settings
         self._backend = backend_client.BackendClient(
             settings.backend.host, settings.backend.port, settings.max_body_bytes
         )
         self._queue = queueing.AdmissionQueue(settings.slots, 0, {})
         self.outcomes = register.OutcomeRegister()
-        run_backend = retrying.pass_on_allowance(self._backend.run)
-        self.gate = gate_module.Gate(self._queue, self.outcomes, run_backend)
+        run = retrying.pass_on_allowance(run_backend or self._backend.run)
+        self.gate = gate_module.Gate(self._queue, self.outcomes, self.runs.observe(run))
 
     def _build_router(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
         vantage = placement.Vantage(
             settings.endpoint_id, settings.region, settings.zone
         )
-        self._connections = peers.PeerConnections(hello)
+        self.connections = peers.PeerConnections(hello)
         policy = placement.make_policy(settings.placement, vantage, random.Random())
         self.router = router.Router(
             vantage,
             self.incarnation,
             self.members,
-            self._connections,
+            self.connections,
             self.gate,
             policy,
-            self.placements.add,
+            self._record,
         )
+        self.route = self.requests.observe(self.router.route)
 
-    def _build_store(self) -> None:
+    def _build_store(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
         self.store = store_client.StoreClient(
             settings.store.host, settings.store.port, settings.region
         )
-        self.holder = reader.ConfigurationHolder(self._configure)
-        self._reader = reader.StoreReader(self.store, self.holder, self.members)
+        place = topology.Place(settings.endpoint_id, settings.region, settings.zone)
+        self.holder = following.Follower(
+            place, self.store, hello, self.members, self._configure
+        )
 
     def _build_ports(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
@@ -127,7 +149,7 @@
             settings.inner.port,
             hello,
             self.gate.serve,
-            self.gate.answer_aside,
+            self._answer_aside,
         )
         self._front = webserver.WebServer(
             settings.front.host,
@@ -135,7 +157,9 @@
             settings.front_threads,
             settings.max_body_bytes,
             front_service.make_handler(
-                lambda: self.router.configuration, self.router.route, self.router.redeem
+                lambda: self.router.configuration,
+                self.route,
+                self.router.redeem,
             ),
         )
         self._operator = webserver.WebServer(
@@ -147,11 +171,16 @@
                 {
                     "/dump": lambda _: dump.dump_daemon(self),
                     "/placements": lambda _: self.placements.totals(),
+                    "/metrics": lambda _: self._scrape(),
                     "/trace": self._trace,
                 }
             ),
         )
 
+    def _answer_aside(self, message: messages.Message) -> messages.Message | None:
+        answer = self.holder.publications.answer(message)
+        return self.gate.answer_aside(message) if answer is None else answer
+
     def _configure(self, configuration: models.Configuration) -> None:
         self.router.configure(configuration)
         own = configuration.services.get(self.settings.service)
@@ -162,6 +191,19 @@
             }
             self.gate.configure(own.queue_limit, rules)
 
-    def _trace(self, address: urllib.parse.SplitResult) -> list[dict]:
+    # -----------------------------------------------------------------------
+    #   What operators see
+    # -----------------------------------------------------------------------
+
+    def _record(self, record: placements.PlacementRecord) -> None:
+        self.placements.add(record)
+        if events.is_logged(events.Event.REQUEST_PLACED):
+            events.emit(events.Event.REQUEST_PLACED, placement=dump.plain(record))
+
+    def _scrape(self) -> operator_port.Text:
+        page = metrics.render(dump.snapshot(self))
+        return operator_port.Text(metrics.CONTENT_TYPE, page)
+
+    def _trace(self, address: urllib.parse.SplitResult) -> dict:
         request_id = urllib.parse.parse_qs(address.query).get("id", [""])[0]
-        return dump.plain(self.placements.find(request_id))
+        return dump.trace_request(self, request_id)
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -31,7 +31,7 @@
     now = 0.0
     for _ in range(count):
         known.fail(now, reached=False)
-        now = known.trial_at
+        now = known.failing_until
     assert evidence.MIN_BACKOFF_S <= known.backoff_s <= evidence.MAX_BACKOFF_S
 
 
