Allow no retry where the ratio is nothing

A budget began with 10 retries whatever its ratio, so an operator who set 0 still paid for retries after each start of a daemon. The test fails with the former start.

--- a/src/savoryhollow/recovery/retrying.py
+++ b/src/savoryhollow/recovery/retrying.py
@@ -43,7 +43,7 @@
     def __init__(self, ratio: float):
         self.ratio = ratio
         self._lock = threading.Lock()
-        self._saved = SAVED_RETRIES
+        self._saved = SAVED_RETRIES if ratio > 0 else 0.0
 
     @property
     def saved(self) -> float:
--- a/tests/test_retrying.py
+++ b/tests/test_retrying.py
@@ -123,6 +123,12 @@
     assert retries <= retrying.SAVED_RETRIES + ratio * sum(firsts) + 1e-6
 
 
+def test_a_budget_of_nothing_allows_no_retry():
+    budget = retrying.RetryBudget(0.0)
+    budget.deposit()
+    assert not budget.withdraw()
+
+
 @pytest.mark.parametrize("trial", [True, False])
 @pytest.mark.parametrize("outcome", [UNKNOWN, FAILED])
 def test_work_that_may_have_run_is_repeated_only_where_idempotent(outcome, trial):
