--- a/src/savoryhollow/library.py
+++ b/src/savoryhollow/library.py
@@ -23,6 +23,7 @@
 from savoryhollow.front import parsing
 from savoryhollow.membership import table
 from savoryhollow.observe import placements, requests
+from savoryhollow.recovery import register
 from savoryhollow.routing import peers, placement, router
 from savoryhollow.settings import models as settings_models
 from savoryhollow.store import client as store_client
@@ -196,10 +197,12 @@
         return messages.NotRunMessage(call.request_id, reason, 0, self.report())
 
     def report(self) -> messages.LoadReport:
-        """Return the load of no slots at all."""
-        return messages.LoadReport(0, 0, 0, 0, True)
+        """Return the load of a gate that takes no work."""
+        return messages.LoadReport(0, 0, 1, 0, True)
 
-    def resolve(self, message: messages.ResolveMessage) -> messages.ResolutionMessage:
+    def resolve(
+        self, message: messages.ResolveMessage, connection: register.Connection | None
+    ) -> messages.ResolutionMessage:
         """Know nothing of a request."""
         state = messages.ResolutionState.FORGOTTEN
         return messages.ResolutionMessage(message.request_id, state)
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -25,9 +25,13 @@
         self.answer = self.serve
         self.seen = []
 
-    def request(self, message, deadline):
+    def start(self, message):
         self.seen.append(message)
-        return self.answer(message)
+        origin = calls.Origin("me", 1, len(self.seen))
+        return types.SimpleNamespace(message=message, origin=origin)
+
+    def finish(self, pending, deadline):
+        return self.answer(pending.message)
 
     def post(self, message):
         pass
