Keep deployments apart from what an earlier one left behind

Cause: a subnet was free once its lock was, though backend servers of a run that had been cut short still listened there. A start that failed also left its processes running.

Change: a subnet where something listens is not taken; a process that has ended during the start is an error; a failed start stops what it started.

--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -30,6 +30,9 @@
 STORE_PORT = 7084
 LINK_CONTROL_PORT = 7085
 LOCK_PORT = 7099
+# Regions, and instances of each, at which leftovers are looked for.
+REGIONS_LOOKED_AT = 2
+INSTANCES_LOOKED_AT = 16
 # Limit for every process to be ready, in s.
 READY_LIMIT_S = 30.0
 # Limit for a process to end after SIGTERM, in s.
@@ -78,7 +81,11 @@
         self.processes_by_name: dict[str, subprocess.Popen] = {}
 
     def __enter__(self) -> "Deployment":
-        self.start()
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -98,6 +105,7 @@
         deadline = time.monotonic() + READY_LIMIT_S
         for instance in self.instances_by_id.values():
             self.await_ready(instance, deadline)
+        self._check_alive()
 
     def start_backend(self, instance: Instance) -> None:
         """Start the backend server of an instance."""
@@ -155,6 +163,12 @@
         log = self.log(f"daemon-{instance.endpoint_id}")
         raise DeploymentError(f"{instance.endpoint_id} is not ready; read: {log}")
 
+    def _check_alive(self) -> None:
+        # Else something left over may answer in the place of a process of ours.
+        for name, process in self.processes_by_name.items():
+            if process.poll() is not None:
+                raise DeploymentError(f"{name} has ended; read: {self.log(name)}")
+
     # -----------------------------------------------------------------------
     #   Questions and faults
     # -----------------------------------------------------------------------
@@ -329,10 +343,25 @@
         except OSError:
             held.close()
             continue
-        return held, subnet
+        if _is_unused(subnet):
+            return held, subnet
+        held.close()
     raise DeploymentError("no subnet is free; stop other deployments")
 
 
+def _is_unused(subnet: int) -> bool:
+    """Say whether nothing left over from another deployment listens there."""
+    for region_number in range(REGIONS_LOOKED_AT):
+        for number in range(1, 1 + INSTANCES_LOOKED_AT):
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((f"127.{subnet}.{region_number}.{number}", BACKEND_PORT))
+                except OSError:
+                    return False
+    return True
+
+
 def _wait(process: subprocess.Popen) -> int:
     try:
         return process.wait(STOP_LIMIT_S)
