--- a/tests/test_retrying.py
+++ b/tests/test_retrying.py
@@ -9,7 +9,7 @@
 from savoryhollow.recovery import retrying
 from savoryhollow.wire import messages
 
-TICKET = calls.Ticket("id", "e", "i")
+TICKET = calls.Ticket("id", "e", "i", calls.Origin("r", 1, 1))
 NOT_RUN = calls.NotRun("id", calls.NotRunReason.UNREACHABLE, 1)
 UNKNOWN = calls.Unknown("id", TICKET, "lost")
 FAILED = calls.Served("id", "e", 500, (), b"")
