--- a/bench/placement.py
+++ b/bench/placement.py
@@ -42,8 +42,8 @@
     p50_ms: float
     p99_ms: float
     p999_ms: float
-    success: float
-    elsewhere: float
+    served_percent: float
+    elsewhere_percent: float
 
 
 def run_two_regions() -> report.PartReport:
@@ -78,11 +78,11 @@
                 stuck += [f"{case}, {policy}: {text}" for text in _stuck(running)]
                 for rank, cell in _cells(running, results).items():
                     cells[case, policy, rank] = cell
-    columns = ("case", "policy", "rank", "p50 ms", "p99 ms", "p99.9 ms", "success")
+    columns = ("case", "policy", "rank", "p50 ms", "p99 ms", "p99.9 ms", "served %")
     rows = tuple((*key, *dataclasses.astuple(cell)) for key, cell in cells.items())
     return report.PartReport(
         f"placement of {SERVICE} over {len(plan.regions)} region(s)",
-        report.Table((*columns, "other region"), rows),
+        report.Table((*columns, "other region %"), rows),
         tuple(_targets(cells)),
         (
             "times from the intended start; a request that is not served counts"
@@ -159,8 +159,8 @@
             total.percentile_of_sent_ms(50, DEADLINE_MS),
             total.percentile_of_sent_ms(99, DEADLINE_MS),
             total.percentile_of_sent_ms(99.9, DEADLINE_MS),
-            total.outcomes["served"] / total.outcomes.total(),
-            elsewhere / max(1, total.outcomes["served"]),
+            100 * total.outcomes["served"] / total.outcomes.total(),
+            100 * elsewhere / max(1, total.outcomes["served"]),
         )
     return cells
 
