--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -82,7 +82,11 @@
         atexit.register(self._kill)
 
     def __enter__(self) -> "Deployment":
-        self.start()
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -102,6 +106,7 @@
         deadline = time.monotonic() + READY_LIMIT_S
         for instance in self.instances_by_id.values():
             self.await_ready(instance, deadline)
+        self._check_alive()
 
     def start_backend(self, instance: Instance) -> None:
         """Start the backend server of an instance."""
@@ -164,6 +169,12 @@
         log = self.log(f"daemon-{instance.endpoint_id}")
         raise DeploymentError(f"{instance.endpoint_id} is not ready; read: {log}")
 
+    def _check_alive(self) -> None:
+        # Else something left over may answer in the place of a process of ours.
+        for name, process in self.processes_by_name.items():
+            if process.poll() is not None:
+                raise DeploymentError(f"{name} has ended; read: {self.log(name)}")
+
     # -----------------------------------------------------------------------
     #   Questions and faults
     # -----------------------------------------------------------------------
--- a/src/savoryhollow/routing/evidence.py
+++ b/src/savoryhollow/routing/evidence.py
@@ -41,7 +41,7 @@
     :param sampled_at: the instant of the newest sample.
     :param failure_share: smoothed share of answers that were failures.
     :param backoff_s: how long the endpoint is left alone, in s; 0 if trusted.
-    :param trial_at: the instant from which it may be tried again.
+    :param failing_until: until then a distrusted endpoint isn't tried.
     :param warm_at: the instant from which it gets its full part.
     :param incarnation: the incarnation that the evidence is about.
     """
@@ -54,7 +54,7 @@
     sampled_at: float = float("-inf")
     failure_share: float = 0.0
     backoff_s: float = 0.0
-    trial_at: float = float("-inf")
+    failing_until: float = float("-inf")
     warm_at: float = float("-inf")
     incarnation: str = ""
 
@@ -110,10 +110,10 @@
             return
         if self.trusted:
             self.backoff_s = MIN_BACKOFF_S
-            self.trial_at = now + self.backoff_s
-        elif now >= self.trial_at:
+            self.failing_until = now + self.backoff_s
+        elif now >= self.failing_until:
             self.backoff_s = min(MAX_BACKOFF_S, 2 * self.backoff_s)
-            self.trial_at = now + self.backoff_s
+            self.failing_until = now + self.backoff_s
 
     def meet(self, incarnation: str, now: float) -> None:
         """Note which incarnation answers; of a new one nothing is known yet."""
@@ -167,7 +167,7 @@
         :param now: the present instant.
         :param patience: how many further backoffs to wait.
         """
-        waits_until = self.trial_at + patience * self.backoff_s
+        waits_until = self.failing_until + patience * self.backoff_s
         return not self.trusted and self.in_flight == 0 and now >= waits_until
 
     def _regain_trust(self, now: float) -> None:
@@ -176,7 +176,7 @@
             self.warm_at = now + RAMP_S
         else:
             self.backoff_s = MIN_BACKOFF_S
-            self.trial_at = now
+            self.failing_until = now
 
     def _weight_of_sample(self, now: float) -> float:
         # An old figure says little: the first sample after a gap replaces it.
--- a/src/savoryhollow/routing/placement.py
+++ b/src/savoryhollow/routing/placement.py
@@ -147,6 +147,12 @@
     )
 
 
+def expected_response(candidate: Candidate, vantage: Vantage, now: float) -> float:
+    """Return the response time to expect of an endpoint, in s."""
+    common = usual([candidate], now)
+    return common.response_s + expected_cost(candidate, vantage, common, now)
+
+
 def _wait(evidence, common: Usual, now: float) -> float:
     weight = evidence.report_weight(now)
     reported = evidence.in_flight + weight * evidence.load_of_others()
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -29,6 +29,12 @@
 FIRST_PAUSE_S = 0.005
 LONGEST_PAUSE_S = 0.1
 
+# Refusals that say nothing against an endpoint; its load report tells the rest.
+_REFUSALS = frozenset(calls.NotRunReason) - {
+    calls.NotRunReason.UNREACHABLE,
+    calls.NotRunReason.LEAVING,
+}
+
 
 class LocalGate(typing.Protocol):
     """The gate of this process, as far as the router uses it."""
@@ -45,13 +51,6 @@
         """Return the load as it is now."""
 
 
-# Refusals that say nothing against an endpoint; its load report tells the rest.
-_REFUSALS = frozenset(calls.NotRunReason) - {
-    calls.NotRunReason.UNREACHABLE,
-    calls.NotRunReason.LEAVING,
-}
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Chosen:
     """The endpoint of one attempt and why it was chosen."""
