--- a/src/savoryhollow/wire/channel.py
+++ b/src/savoryhollow/wire/channel.py
@@ -62,7 +62,6 @@
         self._wait_limit_s = 0.0
         self._pinged_at: float | None = None
         self._closed = False
-        self._sending_ended = False
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -119,21 +118,6 @@
             self._read_until(time.monotonic() + IDLE_WAIT_S)
         return self._inbox.popleft()
 
-    def end_sending(self) -> None:
-        """Send nothing more, but go on reading until the peer closes as well.
-
-        Closing at once would answer what is still on its way here with a reset,
-        and a reset may overtake answers that the peer has not read yet. What is
-        sent afterwards is dropped.
-        """
-        with self._send_lock:
-            self._sending_ended = True
-            try:
-                self._send_sock.shutdown(socket.SHUT_WR)
-            except OSError:
-                # It has ended already, which is all that is asked for.
-                return
-
     def close(self) -> None:
         """Close the connection at once; a thread that reads it is woken.
 
@@ -220,8 +204,6 @@
             raise self._ended(error) from error
 
     def _transmit(self, data: bytes) -> None:
-        if self._sending_ended:
-            return
         view = memoryview(data)
         while view:
             sent = self._send_sock.send(view)
--- a/src/savoryhollow/wire/server.py
+++ b/src/savoryhollow/wire/server.py
@@ -20,8 +20,6 @@
 
 # Threads that read connections and serve requests.
 MAX_THREADS = 512
-# How long peers may take to close their side of a connection, in s.
-CLOSE_LIMIT_S = 0.5
 # Connections waiting to be accepted.
 BACKLOG = 256
 
@@ -122,23 +120,11 @@
             answered = self._answered.wait_for(
                 lambda: self._unanswered == 0, deadline - time.monotonic()
             )
-        self._close_channels(deadline)
-        self._threads.shutdown(wait=False, cancel_futures=True)
-        return answered
-
-    def _close_channels(self, deadline: float) -> None:
-        with self._lock:
             channels = list(self._connections_by_channel)
-        for channel in channels:
-            channel.end_sending()
-        limit = min(deadline, time.monotonic() + CLOSE_LIMIT_S)
-        with self._lock:
-            # Readers forget a connection once its peer has closed it.
-            self._answered.wait_for(
-                lambda: not self._connections_by_channel, limit - time.monotonic()
-            )
         for channel in channels:
             channel.close()
+        self._threads.shutdown(wait=False, cancel_futures=True)
+        return answered
 
     def _accept_all(self) -> None:
         while not self._stopping:
@@ -203,6 +189,5 @@
         channel.close()
         with self._lock:
             connection = self._connections_by_channel.pop(channel, None)
-            self._answered.notify_all()
         if connection is not None:
             self._service.close_connection(connection)
