Greet no peer once the last going-away message has been sent

A connection whose handshake was under way when the server stopped was entered after the others had been told that the daemon goes away, and was greeted all the same; the peer sent a call on it that nobody read before the process ended. Change: a connection is entered and greeted only while the server isn't stopping, under the lock under which the stop begins; else it is closed, and the peer knows that it sent nothing.

--- a/src/savoryhollow/wire/server.py
+++ b/src/savoryhollow/wire/server.py
@@ -108,7 +108,8 @@
         :param deadline: the monotonic instant to stop waiting at.
         :returns: whether every call was answered.
         """
-        self._stopping = True
+        with self._lock:
+            self._stopping = True
         # A thread that waits in accept is woken by the shutdown alone.
         try:
             self._listener.shutdown(socket.SHUT_RDWR)
@@ -151,7 +152,14 @@
             peer.incarnation, peer.connection, channel.close
         )
         with self._lock:
-            self._connections_by_channel[channel] = connection
+            # A peer greeted after the last going away would send calls unheard.
+            known = not self._stopping
+            if known:
+                self._connections_by_channel[channel] = connection
+        if not known:
+            channel.close()
+            self._service.close_connection(connection)
+            return
         try:
             channel.send(self._hello)
         except errors.WireError:
--- a/tests/test_inner_server.py
+++ b/tests/test_inner_server.py
@@ -1,5 +1,6 @@
 """What two daemons owe each other on one connection, over real sockets."""
 
+import concurrent.futures
 import random
 import socket
 import threading
@@ -136,3 +137,22 @@
     service.go_on.set()
     answer = router.request(call("r"), time.monotonic() + LIMIT_S)
     assert isinstance(answer, messages.ServedMessage)
+
+
+def test_a_peer_that_comes_while_the_server_stops_is_not_greeted(service, listening):
+    entered, go_on = threading.Event(), threading.Event()
+    open_connection = service.open_connection
+
+    def open_late(*arguments):
+        entered.set()
+        go_on.wait(LIMIT_S)
+        return open_connection(*arguments)
+
+    service.open_connection = open_late
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        connected = pool.submit(channel.connect, "127.0.0.1", listening.port, ROUTER)
+        assert entered.wait(LIMIT_S)
+        listening.stop(time.monotonic() + LIMIT_S)
+        go_on.set()
+        with pytest.raises(errors.ChannelClosedError):
+            connected.result(LIMIT_S)
