Take the sending of one attempt out of the router

What sends one request and finds out what became of it is now routing/sending.py; a header that stands twice raises an error of the tree. No behaviour changes; the tests of the router, the library and the whole path pass.

--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -1,16 +1,15 @@
 """Take a call to an endpoint that can serve it, and account for it."""
 
 import dataclasses
-import random
 import threading
 import time
 import typing
 
-from savoryhollow import calls, errors
+from savoryhollow import calls
 from savoryhollow.configuration import models
 from savoryhollow.membership import table
 from savoryhollow.observe import placements
-from savoryhollow.recovery import register, retrying
+from savoryhollow.recovery import retrying
 from savoryhollow.routing import (
     crossing,
     evidence,
@@ -18,16 +17,11 @@
     peers,
     placement,
     reasons,
+    sending,
 )
-from savoryhollow.wire import exchange, messages
+from savoryhollow.wire import messages
 
-__all__ = ["LocalGate", "Router"]
-
-# Least time spent on asking what became of a request, in s.
-RESOLVE_LIMIT_S = 0.5
-# Pause before a question is asked again: the first and the longest one, in s.
-FIRST_PAUSE_S = 0.005
-LONGEST_PAUSE_S = 0.1
+__all__ = ["Router"]
 
 # Refusals that say nothing against an endpoint; its load report tells the rest.
 _REFUSALS = frozenset(calls.NotRunReason) - {
@@ -36,21 +30,6 @@
 }
 
 
-class LocalGate(typing.Protocol):
-    """The gate of this process, as far as the router uses it."""
-
-    def serve(self, call: messages.CallMessage) -> exchange.Answer:
-        """Run a call, or say truthfully what happened."""
-
-    def resolve(
-        self, message: messages.ResolveMessage, connection: register.Connection | None
-    ) -> messages.ResolutionMessage:
-        """Say what became of a request; a call of this process has no connection."""
-
-    def report(self) -> messages.LoadReport:
-        """Return the load as it is now."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Chosen:
     """The endpoint of one attempt and why it was chosen."""
@@ -59,27 +38,6 @@
     choice: placements.Choice
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Result:
-    """What one attempt came to.
-
-    :param origin: where it entered the inner protocol.
-    :param lost: whether its answer had to be asked for.
-    """
-
-    incarnation: str
-    origin: calls.Origin
-    answer: exchange.Answer | None
-    lost: bool = False
-    reason: calls.NotRunReason = calls.NotRunReason.UNREACHABLE
-
-
-# Stands for an attempt that was never sent.
-_UNSENT = _Result("", calls.Origin("", 0, 0), None)
-# Stands for one that the link budget kept from being sent.
-_LINK_CLOSED = dataclasses.replace(_UNSENT, reason=calls.NotRunReason.LINK_BUDGET)
-
-
 class Router:
     """Places calls on endpoints.
 
@@ -99,19 +57,20 @@
         incarnation: str,
         members: table.MemberTable,
         connections: peers.PeerConnections,
-        local_gate: LocalGate,
+        local_gate: sending.LocalGate,
         policy: placement.Policy,
         record: typing.Callable[[placements.PlacementRecord], None],
         link_guard: crossing.LinkGuard | None = None,
     ):
         self._vantage = vantage
-        self._incarnation = incarnation
         self._members = members
-        self._connections = connections
         self._local_gate = local_gate
         self._policy = policy
         self._record = record
         self._link_guard = link_guard or crossing.unlimited(vantage.region)
+        self._sender = sending.Sender(
+            vantage.endpoint_id, incarnation, connections, local_gate, self._link_guard
+        )
         self._lock = threading.Lock()
         self._evidence_by_id: dict[str, evidence.EndpointEvidence] = {}
         self.pauses = pauses.PauseDetector(time.monotonic())
@@ -182,8 +141,7 @@
         endpoint = self._find(call.service, ticket.endpoint_id)
         if endpoint is None:
             return calls.Unknown(call.request_id, ticket, "its endpoint is gone")
-        sought = _Result(ticket.incarnation, ticket.origin, None, lost=True)
-        result = self._resolve(endpoint, ticket.request_id, sought, call.deadline)
+        result = self._sender.redeem(endpoint, ticket, call.deadline)
         request_id = ticket.request_id.rpartition(".")[0]
         asked = dataclasses.replace(call, request_id=request_id)
         return self._outcome(asked, endpoint, ticket.request_id, result)
@@ -226,7 +184,7 @@
 
     def _refresh(self, candidates, now: float) -> None:
         for candidate in candidates:
-            if self._is_local(candidate.endpoint):
+            if self._sender.is_local(candidate.endpoint):
                 candidate.evidence.observe(self._local_gate.report(), now)
             elif self.pauses.paused_since(candidate.evidence.reported_at, now):
                 candidate.evidence.forget()
@@ -258,12 +216,7 @@
         # An id names one attempt, so that a bar at one gate bars no other.
         attempt_id = f"{call.request_id}.{attempt}"
         message = _message(call, attempt_id, allowance.attempts_left, started)
-        if self._is_local(endpoint):
-            origin = calls.Origin(self._incarnation, 0, 0)
-            answer = self._local_gate.serve(message)
-            result = _Result(self._incarnation, origin, answer)
-        else:
-            result = self._send_guarded(endpoint, message, call.deadline)
+        result = self._sender.send(endpoint, message, call.deadline)
         outcome = self._outcome(call, endpoint, attempt_id, result)
         self._learn(candidate, result, started)
         self._record(
@@ -287,74 +240,6 @@
         )
         return outcome
 
-    def _is_local(self, endpoint: table.Endpoint) -> bool:
-        return endpoint.endpoint_id == self._vantage.endpoint_id
-
-    def _send_guarded(self, endpoint, message, deadline) -> _Result:
-        reserved = self._link_guard.reserve(endpoint, message)
-        if reserved is None:
-            return _LINK_CLOSED
-        result = self._send(endpoint, message, deadline)
-        sent = result.incarnation != ""
-        self._link_guard.settle(reserved, message, result.answer, sent)
-        return result
-
-    def _send(self, endpoint, message, deadline) -> _Result:
-        try:
-            opened = self._connections.open(endpoint)
-            pending = opened.start(message)
-        except errors.WireError:
-            return _UNSENT
-        sent = _Result(opened.peer.incarnation, pending.origin, None, lost=True)
-        try:
-            answer = opened.finish(pending, deadline)
-        except errors.WireError:
-            return self._resolve(endpoint, message.request_id, sent, deadline)
-        if answer is None:
-            opened.post(messages.CancelMessage(message.request_id))
-            return self._resolve(endpoint, message.request_id, sent, deadline)
-        return dataclasses.replace(sent, answer=answer, lost=False)
-
-    # -----------------------------------------------------------------------
-    #   Lost answers
-    # -----------------------------------------------------------------------
-
-    def _resolve(self, endpoint, attempt_id, sought, deadline) -> _Result:
-        """Ask until the outcome is settled or time is up."""
-        asked = messages.ResolveMessage(attempt_id, sought.origin)
-        until = max(deadline, time.monotonic() + RESOLVE_LIMIT_S)
-        pause = FIRST_PAUSE_S
-        answer = None
-        while True:
-            try:
-                answer = self._ask(endpoint, asked, sought.incarnation, until)
-                if answer is None or _is_settled(answer):
-                    return dataclasses.replace(sought, answer=answer)
-            except errors.WireError:
-                # Nothing is known yet; a later question may get through.
-                pass
-            now = time.monotonic()
-            limit = until if answer is None else deadline
-            if now + pause >= limit:
-                return dataclasses.replace(sought, answer=answer)
-            time.sleep(pause * random.uniform(0.5, 1.0))
-            pause = min(LONGEST_PAUSE_S, 2 * pause)
-
-    def _ask(self, endpoint, asked, incarnation, until) -> exchange.Answer | None:
-        """Ask once; None where the incarnation is gone for good."""
-        if self._is_local(endpoint):
-            if incarnation != self._incarnation:
-                return None
-            return self._local_gate.resolve(asked, None)
-        opened = self._connections.open(endpoint)
-        if opened.peer.incarnation != incarnation:
-            return None
-        answer = opened.request(asked, min(until, time.monotonic() + RESOLVE_LIMIT_S))
-        if answer is None:
-            text = "no answer to a question; ask again on a new connection"
-            raise errors.ChannelClosedError(text)
-        return answer
-
     def _outcome(self, call, endpoint, attempt_id, result) -> calls.Outcome:
         answer = result.answer
         if isinstance(answer, messages.ResolutionMessage):
@@ -400,12 +285,6 @@
                 known.fail(now, reached=served)
 
 
-def _is_settled(answer: exchange.Answer) -> bool:
-    if not isinstance(answer, messages.ResolutionMessage):
-        return True
-    return answer.state is not messages.ResolutionState.RUNNING
-
-
 def _not_run(call: calls.Call, reason: calls.NotRunReason) -> calls.NotRun:
     return calls.NotRun(call.request_id, reason, retrying.RETRY_AFTER_MS)
 
--- a/src/savoryhollow/webserver.py
+++ b/src/savoryhollow/webserver.py
@@ -15,7 +15,7 @@
 
 import cheroot.server
 
-from savoryhollow import calls
+from savoryhollow import calls, errors
 
 __all__ = ["HttpAnswer", "HttpRequest", "WebServer"]
 
@@ -120,13 +120,17 @@
     logging.getLogger(__name__).log(level, text, name, function, trace.tb_lineno)
 
 
+class RepeatedHeaderError(errors.BadRequestError, ValueError):
+    """A header that must stand once stands twice; cheroot answers it with 400."""
+
+
 class _Headers(dict):
     """Headers of one request; a header that stands twice is refused."""
 
     def __setitem__(self, name: bytes, value: bytes) -> None:
         folded = name in cheroot.server.comma_separated_headers
         if name in self and not folded:
-            raise ValueError(f"header {name!r} stands twice; send it once")
+            raise RepeatedHeaderError(f"header {name!r} stands twice; send it once")
         super().__setitem__(name, value)
 
 
