Place a request by the work that its rank finds before it

Cause: in a flood of the least urgent rank every queue is long, and routers saw one length for all ranks. Urgent work was kept away from the endpoint where it would have been next. Change: the load of others counts what waits before a rank, as load reports tell it by order; what waits behind is taken off.

--- a/bench/observation.py
+++ b/bench/observation.py
@@ -101,7 +101,9 @@
         "request counted by service and rank": lambda: _ignore(route(call)),
         "run at the gate recorded": lambda: _ignore(run(message, 1e9)),
         "choice explained": lambda: _ignore(
-            reasons.explain(candidate, [candidate], VANTAGE, time.monotonic())
+            reasons.explain(
+                candidate, [candidate], VANTAGE, placement.Placing(time.monotonic())
+            )
         ),
         "placement recorded": lambda: ring.add(_record(0)),
         "event below the level asked for": lambda: _ignore(
--- a/src/savoryhollow/routing/evidence.py
+++ b/src/savoryhollow/routing/evidence.py
@@ -8,7 +8,10 @@
 
 from savoryhollow.wire import messages
 
-__all__ = ["EVIDENCE_LIMIT_S", "EndpointEvidence"]
+__all__ = ["EVIDENCE_LIMIT_S", "LAST_POSITION", "EndpointEvidence"]
+
+# The place in the order of a rank before which everything is served.
+LAST_POSITION = 1 << 30
 
 # Least weight of the newest sample in smoothed figures.
 SAMPLE_WEIGHT = 0.2
@@ -150,12 +153,20 @@
             return 0.0
         return math.exp2(-max(0.0, age) / REPORT_HALF_LIFE_S)
 
-    def load_of_others(self) -> int:
-        """Return the requests that others had there at the last report."""
+    def load_of_others(self, position: int = LAST_POSITION) -> int:
+        """Return the requests that others had there at the last report.
+
+        Requests that wait behind a rank don't stand in its way and are taken
+        off. They may be this process's own, so the figure may be negative; it
+        is one to be added to those in flight.
+
+        :param position: the place of the rank in the order, 0 the most urgent.
+        """
         if self.report is None:
             return 0
         there = self.report.busy + self.report.queued
-        return max(0, there - self.in_flight_at_report)
+        behind = self.report.queued - self.report.queued_before(position)
+        return max(0, there - self.in_flight_at_report) - behind
 
     def warmth(self, now: float) -> float:
         """Return the part of its slots that may be counted on, from 0 to 1."""
--- a/src/savoryhollow/routing/placement.py
+++ b/src/savoryhollow/routing/placement.py
@@ -61,10 +61,12 @@
     :param now: the present instant.
     :param expendable: whether its failure would cost little, so that it may
         readily be used to try an endpoint again.
+    :param position: the place of its rank in the order, 0 the most urgent.
     """
 
     now: float
     expendable: bool = False
+    position: int = evidence_module.LAST_POSITION
 
 
 Policy = collections.abc.Callable[[list[Candidate], Placing], Candidate]
@@ -108,15 +110,15 @@
     load_of_others: float
 
 
-def usual(candidates: list[Candidate], now: float) -> Usual:
+def usual(candidates: list[Candidate], placing: Placing) -> Usual:
     """Return what is usual among candidates."""
     responses = [
         c.evidence.response_s for c in candidates if c.evidence.response_s is not None
     ]
     loads = [
-        c.evidence.load_of_others()
+        c.evidence.load_of_others(placing.position)
         for c in candidates
-        if c.evidence.fresh_report(now) is not None
+        if c.evidence.fresh_report(placing.now) is not None
     ]
     return Usual(
         statistics.median_low(responses) if responses else FIRST_RESPONSE_S,
@@ -125,7 +127,7 @@
 
 
 def expected_cost(
-    candidate: Candidate, vantage: Vantage, common: Usual, now: float
+    candidate: Candidate, vantage: Vantage, common: Usual, placing: Placing
 ) -> float:
     """Return the time that a request would lose at an endpoint, in s.
 
@@ -136,33 +138,29 @@
     :param candidate: the endpoint and its evidence.
     :param vantage: where this process stands.
     :param common: what is usual among the candidates.
-    :param now: the present instant.
+    :param placing: the request.
     """
     evidence = candidate.evidence
     response_s = evidence.response_s or common.response_s
     return (
         _delay(candidate.endpoint, vantage)
-        + _wait(evidence, common, now)
+        + _wait(evidence, common, placing)
         + max(0.0, response_s - SLOW_RATIO * common.response_s)
     )
 
 
-def expected_response(candidate: Candidate, vantage: Vantage, now: float) -> float:
-    """Return the response time to expect of an endpoint, in s."""
-    common = usual([candidate], now)
-    return common.response_s + expected_cost(candidate, vantage, common, now)
-
-
-def _wait(evidence, common: Usual, now: float) -> float:
-    weight = evidence.report_weight(now)
-    reported = evidence.in_flight + weight * evidence.load_of_others()
-    ahead = reported + (1 - weight) * common.load_of_others
+def _wait(evidence, common: Usual, placing: Placing) -> float:
+    weight = evidence.report_weight(placing.now)
+    others = weight * evidence.load_of_others(placing.position)
+    # Work that waits behind this rank is taken off, and may be this process's own.
+    reported = max(0.0, evidence.in_flight + others)
+    ahead = max(0.0, reported + (1 - weight) * common.load_of_others)
     report = evidence.report
     slots = FIRST_SLOTS if report is None else report.slots
     service_s = common.response_s if report is None else report.service_us / 1e6
     waiting = max(0.0, ahead + 1 - slots) / slots
     crowding = CROWDING * min(1.0, ahead / slots) ** CROWDING_POWER
-    coldness = (1 - evidence.warmth(now)) * reported / slots
+    coldness = (1 - evidence.warmth(placing.now)) * reported / slots
     return service_s * (waiting + crowding + coldness)
 
 
@@ -171,13 +169,13 @@
 
     def choose(candidates: list[Candidate], placing: Placing) -> Candidate:
         trials.deposit()
-        common = usual(candidates, placing.now)
+        common = usual(candidates, placing)
         tried = _to_try(candidates, vantage, common, placing)
         if tried is not None and trials.withdraw():
             return tried
         pool = [c for c in candidates if c.evidence.trusted] or candidates
         sample = _sample(pool, vantage, rng)
-        return min(sample, key=lambda c: expected_cost(c, vantage, common, placing.now))
+        return min(sample, key=lambda c: expected_cost(c, vantage, common, placing))
 
     return choose
 
--- a/src/savoryhollow/routing/router.py
+++ b/src/savoryhollow/routing/router.py
@@ -177,9 +177,10 @@
             if not candidates:
                 return None
             self._refresh(candidates, now)
-            candidate = self._policy(candidates, self._placing(call, now))
+            placing = self._placing(call, now)
+            candidate = self._policy(candidates, placing)
             candidate.evidence.begin()
-            choice = reasons.explain(candidate, candidates, self._vantage, now)
+            choice = reasons.explain(candidate, candidates, self._vantage, placing)
             return _Chosen(candidate, choice)
 
     def _refresh(self, candidates, now: float) -> None:
@@ -191,10 +192,10 @@
 
     def _placing(self, call: calls.Call, now: float) -> placement.Placing:
         ranks = self._configuration.services[call.service].ranks
-        first = min(rank.order for rank in ranks.values())
-        last = max(rank.order for rank in ranks.values())
-        urgent = first != last and ranks[call.rank].order == first
-        return placement.Placing(now, call.idempotent and not urgent)
+        order = ranks[call.rank].order
+        position = sum(rank.order < order for rank in ranks.values())
+        urgent = len(ranks) > 1 and position == 0
+        return placement.Placing(now, call.idempotent and not urgent, position)
 
     def _why_none(self, call: calls.Call) -> calls.NotRunReason:
         for endpoint in self._members.endpoints(call.service):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -75,12 +75,16 @@
 
 @hypothesis.given(any_candidates(), INSTANTS, strategies.integers(0, 30))
 def test_more_of_its_own_requests_never_make_an_endpoint_cheaper(found, now, more):
-    common = placement.usual(found, now)
+    common = placement.usual(found, placement.Placing(now))
     one = found[0]
-    before = placement.expected_cost(one, HERE, common, now)
+    before = placement.expected_cost(one, HERE, common, placement.Placing(now))
     for _ in range(more):
         one.evidence.begin()
-    assert placement.expected_cost(one, HERE, common, now) >= before >= 0
+    assert (
+        placement.expected_cost(one, HERE, common, placement.Placing(now))
+        >= before
+        >= 0
+    )
 
 
 def test_an_idle_local_endpoint_is_preferred():
@@ -205,3 +209,29 @@
     assert replay.run(10, 0.4, fails=False)[0] < 0.05
     replay.run(5, 0.04, fails=False)
     assert replay.run(3, 0.04, fails=False)[0] > 0.1
+
+
+def test_a_rank_is_not_kept_away_by_work_that_waits_behind_it():
+    crowded, shorter = candidate(1), candidate(2)
+    for found, queued_by_order in ((crowded, (0, 0, 40)), (shorter, (12, 12, 12))):
+        queued = queued_by_order[-1]
+        report = messages.LoadReport(9, queued, 9, 40_000, False, queued_by_order)
+        found.evidence.observe(report, 0.0)
+        found.evidence.succeed(0.04, 0.0)
+    choose = placement.make_policy("evidence", HERE, random.Random(7))
+    found = [crowded, shorter]
+    assert choose(found, placement.Placing(0.0, position=0)) is crowded
+    assert choose(found, placement.Placing(0.0, position=2)) is shorter
+
+
+@hypothesis.given(
+    any_candidates(), strategies.integers(0, 3), strategies.integers(0, 3)
+)
+def test_a_cost_is_never_negative_whatever_waits_behind(found, one, other):
+    first, last = sorted((one, other))
+    costs = []
+    for position in (first, last):
+        placing = placement.Placing(0.0, position=position)
+        common = placement.usual(found, placing)
+        costs.append(placement.expected_cost(found[0], HERE, common, placing))
+    assert min(costs) >= 0
