--- a/emulator/backend_server.py
+++ b/emulator/backend_server.py
@@ -18,8 +18,6 @@
 SPARE_THREADS = 40
 # Limit of a request, in bytes.
 MAX_BODY_BYTES = 2 << 20
-# Runs remembered by request id.
-MAX_RUNS = 500_000
 
 
 class BackendSettings(msgspec.Struct):
--- a/src/savoryhollow/webserver.py
+++ b/src/savoryhollow/webserver.py
@@ -154,8 +154,7 @@
 class _Reader(io.BufferedReader):
     """Reads a socket through the interpreter's compiled buffer.
 
-    cheroot brings a buffer written in Python, which took a third of the time
-    that a call spends in the front.
+    cheroot brings a buffer written in Python, which costs each call more.
     """
 
     bytes_read = 0
