--- a/src/savoryhollow/admission/estimates.py
+++ b/src/savoryhollow/admission/estimates.py
@@ -26,8 +26,8 @@
 
     __slots__ = ("deviation_s", "mean_s")
 
-    def __init__(self) -> None:
-        self.mean_s = FIRST_SERVICE_S
+    def __init__(self, first_s: float = FIRST_SERVICE_S) -> None:
+        self.mean_s = first_s
         self.deviation_s = 0.0
 
     @property
--- /dev/null
+++ b/src/savoryhollow/admission/objectives.py
@@ -0,0 +1,185 @@
+"""The order in which requests get slots, by rank and by their objectives.
+
+A request is of full use until its objective and of little use after it. So those
+that can still meet theirs come first, by rank; the others take what is left. Work
+that a running request waits for comes before new work of its rank, as the one
+that waits holds a slot.
+
+Pure computation: the caller passes the instant.
+"""
+
+import collections
+import dataclasses
+import enum
+import math
+
+from savoryhollow.admission import estimates
+
+__all__ = ["ObjectiveQueue", "Refusal", "Waiting"]
+
+# Work time assumed of a rank before its first sample, as a part of its objective.
+FIRST_SHARE = 0.3
+# Part of the work time that has to fit before the deadline for a request to start.
+START_SHARE = 0.8
+# Times the slots that may wait before the least urgent is turned away.
+MAX_WAITING_PER_SLOT = 8
+
+
+class Refusal(enum.Enum):
+    """Why a request gets no slot."""
+
+    TOO_LATE = "too-late"
+    FULL = "full"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiting:
+    """One request in front of the slots.
+
+    :param kind: what its work time is known by.
+    :param order: the place of its rank, 0 the most urgent.
+    :param called: whether a running request waits for it.
+    :param objective: the instant until which its answer is of full use.
+    :param deadline: the instant after which its answer is of no use.
+    :param work_s: the time that it is expected to hold a slot, in s.
+    """
+
+    kind: str
+    order: int
+    called: bool
+    objective: float
+    deadline: float
+    work_s: float = 0.0
+    refusal: Refusal | None = None
+
+    @property
+    def latest_start(self) -> float:
+        """The instant after which it had better not start."""
+        return self.deadline - START_SHARE * self.work_s
+
+    def urgency(self, now: float) -> tuple[bool, int, bool, float]:
+        """Return what it is sorted by; less comes first."""
+        late = now + self.work_s > self.objective
+        return (late, self.order, not self.called, self.objective)
+
+
+class ObjectiveQueue:
+    """Slots, and what waits for them.
+
+    :param slots: requests that run at one time.
+    :param extra: slots beyond these that only called work may take.
+    """
+
+    def __init__(self, slots: int, extra: int):
+        self.slots = slots
+        self.extra = extra
+        self.busy = 0
+        self.waiting: list[Waiting] = []
+        self._work_by_kind: dict[str, estimates.ServiceTime] = {}
+        self._overall = estimates.ServiceTime()
+
+    @property
+    def service_s(self) -> float:
+        """The smoothed time that a request holds a slot, in s."""
+        return self._overall.mean_s
+
+    def work_s(self, kind: str, objective_s: float) -> float:
+        """Return the time that a request of a kind is expected to take, in s."""
+        known = self._work_by_kind.get(kind)
+        if known is None:
+            return FIRST_SHARE * objective_s if math.isfinite(objective_s) else 0.0
+        return known.mean_s
+
+    # -----------------------------------------------------------------------
+    #   Changes
+    # -----------------------------------------------------------------------
+
+    def offer(self, entry: Waiting, now: float) -> list[Waiting]:
+        """Let a request wait.
+
+        :param entry: the request.
+        :param now: the present instant.
+        :returns: the requests that are turned away for it, their ``refusal`` set.
+        """
+        entry.work_s = self.work_s(entry.kind, entry.objective - now)
+        if now + self.expected_wait_s(entry, now) > entry.latest_start:
+            entry.refusal = Refusal.TOO_LATE
+            return [entry]
+        self.waiting.append(entry)
+        if len(self.waiting) <= MAX_WAITING_PER_SLOT * max(1, self.slots):
+            return []
+        last = max(self.waiting, key=lambda one: one.urgency(now))
+        self.waiting.remove(last)
+        last.refusal = Refusal.FULL
+        return [last]
+
+    def take(self, now: float) -> Waiting | None:
+        """Give a free slot to the request that comes next, if there is one."""
+        if not self.waiting:
+            return None
+        room = self.slots - self.busy
+        first = min(self.waiting, key=lambda one: one.urgency(now))
+        if room <= 0:
+            called = [one for one in self.waiting if one.called]
+            if room + self.extra <= 0 or not called:
+                return None
+            first = min(called, key=lambda one: one.urgency(now))
+        self.waiting.remove(first)
+        self.busy += 1
+        return first
+
+    def expire(self, now: float) -> list[Waiting]:
+        """Take out what can't end in time any more, their ``refusal`` set."""
+        late = [one for one in self.waiting if one.latest_start < now]
+        for one in late:
+            self.waiting.remove(one)
+            one.refusal = Refusal.TOO_LATE
+        return late
+
+    def withdraw(self, entry: Waiting) -> bool:
+        """Take a request out; return whether it waited."""
+        if entry not in self.waiting:
+            return False
+        self.waiting.remove(entry)
+        return True
+
+    def release(self, kind: str, held_s: float | None) -> None:
+        """Give a slot back.
+
+        :param held_s: how long it was held in s; None where that says nothing.
+        """
+        self.busy -= 1
+        if held_s is None:
+            return
+        if kind not in self._work_by_kind:
+            self._work_by_kind[kind] = estimates.ServiceTime(held_s)
+        self._work_by_kind[kind].add(held_s)
+        self._overall.add(held_s)
+
+    def resize(self, slots: int, extra: int) -> None:
+        """Change the number of slots; requests that hold one keep it."""
+        self.slots = slots
+        self.extra = extra
+
+    # -----------------------------------------------------------------------
+    #   Estimates
+    # -----------------------------------------------------------------------
+
+    def expected_wait_s(self, entry: Waiting, now: float) -> float:
+        """Return the time that a request would wait, in s."""
+        if self.busy < self.slots and not self.waiting:
+            return 0.0
+        if self.slots <= 0:
+            return math.inf
+        own = entry.urgency(now)
+        ahead_s = sum(one.work_s for one in self.waiting if one.urgency(now) < own)
+        held = max(0, self.busy - self.slots + 1)
+        first_s = held * self.service_s / self.slots
+        return first_s + ahead_s / self.slots
+
+    def waiting_by_order(self) -> tuple[int, ...]:
+        """Return the requests that wait at each order or before it."""
+        counts = collections.Counter(one.order for one in self.waiting)
+        last = max(counts, default=-1)
+        return tuple(sum(counts[i] for i in range(n + 1)) for n in range(last + 1))
--- /dev/null
+++ b/src/savoryhollow/budgets/shared.py
@@ -0,0 +1,52 @@
+"""A budget of retries that every daemon keeps its part of, without shared state.
+
+Over any window, all daemons together may repeat a ratio of the requests plus some
+slack. Each spends the ratio of what it sent itself and an equal part of the slack.
+One that restarts begins with nothing saved, so restarts never add to the sum.
+
+Pure computation: the caller passes the instant.
+"""
+
+import collections
+
+__all__ = ["SharedRetryBudget"]
+
+
+class SharedRetryBudget:
+    """The repeats that this process may still send for one service.
+
+    :param ratio: repeats allowed for each first attempt.
+    :param slack: repeats allowed besides, over all daemons in one window.
+    :param window_s: the length of the window, in s.
+    """
+
+    def __init__(self, ratio: float, slack: float, window_s: float):
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        self._firsts: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    def note_first(self, now: float) -> None:
+        """Note a first attempt."""
+        self._firsts.append(now)
+
+    def take(self, now: float, daemons: int) -> bool:
+        """Take one repeat, if there is one.
+
+        :param now: the present instant.
+        :param daemons: how many daemons share the slack, this one included.
+        """
+        if self.left(now, daemons) < 1.0:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def left(self, now: float, daemons: int) -> float:
+        """Return the repeats that may be sent now."""
+        since = now - self.window_s
+        for instants in (self._firsts, self._repeats):
+            while instants and instants[0] <= since:
+                instants.popleft()
+        allowed = self.ratio * len(self._firsts) + self.slack / max(1, daemons)
+        return allowed - len(self._repeats)
--- a/src/savoryhollow/calls.py
+++ b/src/savoryhollow/calls.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import math
 import secrets
 import typing
 
@@ -59,6 +60,8 @@
     :param path: the HTTP path with its query.
     :param headers: the headers passed on to the backend server.
     :param body: the whole body.
+    :param order: the place of its rank among all work, 0 the most urgent.
+    :param objective: the instant until which its answer is of full use.
     """
 
     request_id: str
@@ -73,6 +76,8 @@
     path: str
     headers: tuple[Header, ...]
     body: bytes
+    order: int = 0
+    objective: float = math.inf
 
 
 # ---------------------------------------------------------------------------
@@ -95,6 +100,10 @@
     RETRY_BUDGET = "retry-budget"
     LINK_BUDGET = "link-budget"
     UNREACHABLE = "unreachable"
+    # The backend server was reached and said that it did not run the request.
+    REJECTED = "rejected"
+    MISDIRECTED = "misdirected"
+    NO_CONFIGURATION = "no-configuration"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/savoryhollow/errors.py
+++ b/src/savoryhollow/errors.py
@@ -14,6 +14,7 @@
     "ConfigurationError",
     "MalformedMessageError",
     "OperatorPortError",
+    "PeerUnreachableError",
     "Problem",
     "SavoryhollowError",
     "SettingsError",
@@ -97,6 +98,10 @@
     """The connection ended; requests open on it have to be resolved."""
 
 
+class PeerUnreachableError(WireError):
+    """There is no connection to a peer; the request was never sent."""
+
+
 class ChannelSilentError(ChannelClosedError):
     """The connection stopped answering pings though it was never closed."""
 
@@ -105,11 +110,13 @@
     """The backend server gave no whole answer.
 
     :param started: whether the backend server may have begun the request.
+    :param heard: whether any byte of an answer came.
     """
 
-    def __init__(self, message: str, *, started: bool):
+    def __init__(self, message: str, *, started: bool, heard: bool = False):
         super().__init__(message)
         self.started = started
+        self.heard = heard
 
 
 class StoreError(SavoryhollowError):
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -33,7 +33,22 @@
     REVISION_CONFLICT = 2007
     MEMBERS_CHANGED = 3001
     LIST_REJECTED = 3002
+    PEER_LOST = 3003
+    PEER_REGAINED = 3004
+    ENDPOINT_CHANGED = 3005
+    ENDPOINT_REMOVED = 3006
+    ENDPOINT_UNREADABLE = 3007
+    STORE_REGAINED = 2008
+    SETTINGS_RELOADED = 1004
+    SETTINGS_REJECTED = 1005
     REQUEST_PLACED = 4001
+    REQUEST_ENDED = 4002
+    REQUEST_REFUSED = 4003
+    REQUEST_ABANDONED = 4004
+    ATTEMPT_ENDED = 4005
+    RUN_REFUSED = 4006
+    RUN_UNKNOWN = 4007
+    ENDPOINT_DISTRUSTED = 4008
     LIBRARY_MESSAGE = 9001
     THREAD_FAILED = 9002
 
@@ -46,6 +61,11 @@
         Event.STORE_TRUSTED_ALONE,
         Event.REVISION_CONFLICT,
         Event.LIST_REJECTED,
+        Event.PEER_LOST,
+        Event.SETTINGS_REJECTED,
+        Event.ENDPOINT_UNREADABLE,
+        Event.RUN_UNKNOWN,
+        Event.ENDPOINT_DISTRUSTED,
     )
 )
 _ERRORS = frozenset((Event.THREAD_FAILED,))
@@ -59,8 +79,19 @@
 WINDOW_S = 10.0
 # Lines of one event in a window; the rest are counted.
 LINES_PER_WINDOW = 20
-# Lines of placements in a window.
-PLACEMENTS_PER_WINDOW = 2000
+# Events of which each request may cause some, and their lines in a window.
+_OF_REQUESTS = frozenset(
+    (
+        Event.REQUEST_PLACED,
+        Event.REQUEST_ENDED,
+        Event.REQUEST_REFUSED,
+        Event.REQUEST_ABANDONED,
+        Event.ATTEMPT_ENDED,
+        Event.RUN_REFUSED,
+        Event.RUN_UNKNOWN,
+    )
+)
+REQUESTS_PER_WINDOW = 2000
 # Longest text kept of a message that a library logs, in characters.
 MAX_MESSAGE_CHARACTERS = 400
 
@@ -111,8 +142,8 @@
 
 
 def _lines_per_window(event: Event) -> int:
-    if event is Event.REQUEST_PLACED:
-        return PLACEMENTS_PER_WINDOW
+    if event in _OF_REQUESTS:
+        return REQUESTS_PER_WINDOW
     return LINES_PER_WINDOW
 
 
--- /dev/null
+++ b/src/savoryhollow/platform/boot.py
@@ -0,0 +1,132 @@
+"""Read the settings file that the platform places on an instance."""
+
+import pathlib
+import tomllib
+
+import msgspec
+
+from savoryhollow import errors
+from savoryhollow.proxy import agent, router
+from savoryhollow.settings import models
+
+__all__ = ["BootSettings", "read"]
+
+# Port on which metrics are served; ``deploy/system.toml`` names it too.
+METRICS_PORT = 9464
+# Bounds that are assumed where the file has none.
+DEFAULT_GRACE_S = 6.0
+DEFAULT_RETRY_RATIO = 0.2
+DEFAULT_RETRY_WINDOW_S = 10.0
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    inbound: str
+    outbound: str
+    ready: str
+    control: str | None = None
+
+
+class _Store(msgspec.Struct, frozen=True):
+    address: str
+
+
+class _BootFile(msgspec.Struct, frozen=True):
+    """The file as it stands on the instance.
+
+    :param node: the name of the instance.
+    :param app_addr: the address of the backend server beside the process.
+    :param seeds: inner addresses of a few other daemons.
+    :param bounds: texts of the form ``name=value``.
+    :param zones: the region of each availability zone.
+    """
+
+    node: str
+    ip: str
+    zone: str
+    region: str
+    app_addr: str
+    service: str
+    listen: _Listen
+    platform: _Store
+    zones: dict[str, str]
+    seeds: list[str] = []
+    bounds: list[str] = []
+
+
+class BootSettings(msgspec.Struct, frozen=True):
+    """What the adapter and the product take from the file."""
+
+    agent: agent.AgentSettings
+    store: models.Target
+    regions_by_zone: dict[str, str]
+    inner_port: int
+    seeds: list[models.Target]
+
+
+def read(path: pathlib.Path) -> BootSettings:
+    """Read and validate the file.
+
+    :raises errors.SettingsError: where it can't be used.
+    """
+    try:
+        text = path.read_text()
+        parsed = msgspec.convert(tomllib.loads(text), _BootFile)
+        return _convert(parsed)
+    except (OSError, UnicodeDecodeError, ValueError) as error:
+        remedy = f"have the platform write it anew: {error}"
+        problem = errors.Problem(str(path), "$", "-", remedy)
+        raise errors.SettingsError([problem]) from error
+
+
+def _convert(file: _BootFile) -> BootSettings:
+    bounds = _bounds(file.bounds)
+    inner = [_address(file.listen.inbound)]
+    if file.listen.control:
+        inner.append(_address(file.listen.control))
+    rules = router.RetryRules(
+        ratio=bounds.get("retry_budget_ratio", DEFAULT_RETRY_RATIO),
+        slack=bounds.get("retry_budget_slack", 0.0),
+        window_s=bounds.get("budget_window_s", DEFAULT_RETRY_WINDOW_S),
+    )
+    settings = agent.AgentSettings(
+        instance=file.node,
+        service=file.service,
+        region=file.region,
+        zone=file.zone,
+        front=_address(file.listen.outbound),
+        inner=tuple(inner),
+        readiness=_address(file.listen.ready),
+        metrics=models.Address(file.ip, METRICS_PORT),
+        backend=_target(file.app_addr),
+        retry_rules=rules,
+        stop_limit_s=bounds.get("grace_s", DEFAULT_GRACE_S),
+    )
+    return BootSettings(
+        agent=settings,
+        store=_target(file.platform.address),
+        regions_by_zone=file.zones,
+        inner_port=inner[0].port,
+        seeds=[_target(seed) for seed in file.seeds],
+    )
+
+
+def _bounds(texts: list[str]) -> dict[str, float]:
+    found = {}
+    for text in texts:
+        name, _, value = text.partition("=")
+        try:
+            found[name] = float(value)
+        except ValueError:
+            # Bounds that are no figures, true and false, aren't used here.
+            continue
+    return found
+
+
+def _address(text: str) -> models.Address:
+    host, _, port = text.rpartition(":")
+    return models.Address(host, int(port))
+
+
+def _target(text: str) -> models.Target:
+    host, _, port = text.rpartition(":")
+    return models.Target(host, int(port))
--- /dev/null
+++ b/src/savoryhollow/platform/documents.py
@@ -0,0 +1,266 @@
+"""Decode what the platform's store holds into the product's own types."""
+
+import base64
+import binascii
+
+import msgspec
+
+from savoryhollow import errors
+from savoryhollow.configuration import routes
+from savoryhollow.membership import directory, table
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "ENDPOINT_PREFIX",
+    "Change",
+    "Changes",
+    "Page",
+    "decode_changes",
+    "decode_endpoint",
+    "decode_page",
+    "decode_table",
+]
+
+CONFIGURATION_KEY = "op/config"
+ENDPOINT_PREFIX = "servers/"
+STATES_BY_WORD = {
+    "ready": table.EndpointState.LIVE,
+    "draining": table.EndpointState.LEAVING,
+}
+IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
+
+
+# ---------------------------------------------------------------------------
+#   The store
+# ---------------------------------------------------------------------------
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One item as it is, or its removal.
+
+    :param value: base64 text; None for a removal.
+    """
+
+    key: str
+    revision: int
+    value: str | None = None
+    tombstone: bool = False
+
+    @property
+    def content(self) -> bytes:
+        """The bytes of the item.
+
+        :raises errors.StoreError: where they can't be read.
+        """
+        try:
+            return base64.b64decode(self.value or "", validate=True)
+        except (binascii.Error, ValueError) as error:
+            text = f"{self.key} isn't base64: {error}; see to its writer"
+            raise errors.StoreError(text) from error
+
+
+class Page(msgspec.Struct, frozen=True):
+    """Items under a prefix; the next page begins after the last of them."""
+
+    items: list[Change]
+    has_more: bool
+    as_of: int
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What has changed since a revision."""
+
+    events: list[Change]
+    as_of: int
+
+
+def decode_page(body: bytes) -> Page:
+    """Decode a page of items.
+
+    :raises errors.StoreError: where it can't be read.
+    """
+    return _decode(body, Page)
+
+
+def decode_changes(body: bytes) -> Changes:
+    """Decode an answer to a watch.
+
+    :raises errors.StoreError: where it can't be read.
+    """
+    return _decode(body, Changes)
+
+
+def _decode(body, cls):
+    try:
+        return msgspec.json.decode(body, type=cls)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        text = f"the store's answer can't be read: {error}; see to the platform"
+        raise errors.StoreError(text) from error
+
+
+# ---------------------------------------------------------------------------
+#   Endpoints
+# ---------------------------------------------------------------------------
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    """What a backend server says of itself.
+
+    :param address: its own address; the daemon beside it has the same IP number.
+    :param cold_s: time for which it stays slow after its start, in s.
+    """
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    slots: int = 0
+    cold_s: float = 0.0
+
+
+def decode_endpoint(
+    change: Change, regions_by_zone: dict[str, str], inner_port: int, now: float
+) -> directory.KnownEndpoint:
+    """Decode the entry of a backend server.
+
+    :param change: its item.
+    :param regions_by_zone: the regions of the availability zones.
+    :param inner_port: the port of all daemons.
+    :param now: the present instant.
+    :raises errors.StoreError: where it names no endpoint to use.
+    """
+    entry = _decode(change.content, _Entry)
+    host, _, port = entry.address.rpartition(":")
+    known = entry.zone in regions_by_zone and entry.state in STATES_BY_WORD
+    if not (known and host and port.isdigit() and entry.service):
+        text = f"{change.key} names no endpoint; see to its writer"
+        raise errors.StoreError(text)
+    return directory.KnownEndpoint(
+        endpoint_id=change.key.removeprefix(ENDPOINT_PREFIX),
+        service=entry.service,
+        region=regions_by_zone[entry.zone],
+        zone=entry.zone,
+        host=host,
+        port=inner_port,
+        state=STATES_BY_WORD[entry.state],
+        slots=max(0, entry.slots),
+        cold_until=now + entry.cold_s if entry.cold_s > 0 else float("-inf"),
+    )
+
+
+# ---------------------------------------------------------------------------
+#   The configuration
+# ---------------------------------------------------------------------------
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class _Share(msgspec.Struct, frozen=True):
+    service: str
+    weight: int
+
+
+class _Match(msgspec.Struct, frozen=True):
+    prefix: str
+
+
+class _Action(msgspec.Struct, frozen=True):
+    """Where requests go: one service, or several by weight."""
+
+    timeout_s: float
+    max_attempts: int
+    service: str | None = None
+    traffic_split: list[_Share] | None = None
+
+
+class _Rule(msgspec.Struct, frozen=True):
+    """One route.
+
+    :param kind: whether its requests may run more than once.
+    :param target_latency_s: time within which an answer earns its full credit.
+    :param priority: its rank, 0 the highest.
+    """
+
+    name: str
+    kind: str
+    match: _Match
+    action: _Action
+    target_latency_s: float = 1.0
+    priority: int = 0
+
+
+class _Listener(msgspec.Struct, frozen=True):
+    """The routes of one host."""
+
+    host: str
+    rules: list[_Rule]
+
+
+class _Cluster(msgspec.Struct, frozen=True):
+    """One service."""
+
+    name: str
+    health_path: str = "/health"
+
+
+class _Document(msgspec.Struct, frozen=True):
+    version: int
+    limits: _Limits
+    listeners: list[_Listener]
+    clusters: list[_Cluster] = []
+
+
+def decode_table(change: Change) -> routes.RouteTable:
+    """Decode the operator's configuration.
+
+    :raises errors.StoreError: where it can't be read or breaks its own form.
+    """
+    document = _decode(change.content, _Document)
+    found = tuple(
+        _route(listener.host, rule)
+        for listener in document.listeners
+        for rule in listener.rules
+    )
+    limits = document.limits
+    return routes.RouteTable(
+        document.version,
+        routes.CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        ),
+        found,
+        {cluster.name: cluster.health_path for cluster in document.clusters},
+    )
+
+
+def _route(host: str, rule: _Rule) -> routes.Route:
+    action = rule.action
+    if action.traffic_split:
+        shares = tuple(
+            routes.ServiceShare(share.service, share.weight)
+            for share in action.traffic_split
+        )
+    else:
+        shares = (routes.ServiceShare(action.service or "", 1),)
+    weighed = sum(share.weight for share in shares) > 0
+    if rule.kind not in IDEMPOTENT_BY_KIND or not weighed or not shares[0].service:
+        text = f"route {rule.name} of the configuration is incomplete; publish it anew"
+        raise errors.StoreError(text)
+    return routes.Route(
+        name=rule.name,
+        host=host.lower(),
+        prefix=rule.match.prefix,
+        idempotent=IDEMPOTENT_BY_KIND[rule.kind],
+        order=rule.priority,
+        objective_s=rule.target_latency_s,
+        timeout_s=action.timeout_s,
+        max_attempts=max(1, action.max_attempts),
+        shares=shares,
+    )
--- /dev/null
+++ b/src/savoryhollow/proxy/agent.py
@@ -0,0 +1,259 @@
+"""Put the parts of the event-loop path together, and run them."""
+
+import asyncio
+import dataclasses
+import random
+import secrets
+
+from savoryhollow import calls
+from savoryhollow.configuration import routes
+from savoryhollow.http1 import backends, callers
+from savoryhollow.http1 import messages as http
+from savoryhollow.membership import directory, table
+from savoryhollow.observe import events
+from savoryhollow.proxy import dialect as dialect_module
+from savoryhollow.proxy import front, inner, links, router, running, traffic
+from savoryhollow.proxy import gate as gate_module
+from savoryhollow.routing import nearby, placement
+from savoryhollow.settings import models
+from savoryhollow.wire import messages
+
+__all__ = ["Agent", "AgentSettings"]
+
+# How often the gate's load is sent to the daemons of the region, in s.
+REPORT_INTERVAL_S = 0.1
+# How often lists and timers are looked after, in s.
+UPKEEP_INTERVAL_S = 0.1
+# Room in a message beside the largest body, in bytes.
+MESSAGE_MARGIN_BYTES = 1 << 20
+# Largest body while no configuration sets a limit, in bytes.
+FIRST_BODY_BYTES = 16 << 20
+# Time for which callers may still come after a stop was ordered, in s.
+LATE_CALLERS_S = 2.2
+# Time kept of the limit of a stop for its end, in s.
+STOP_MARGIN_S = 0.4
+INCARNATION_BYTES = 8
+# What operators see; a path on the metrics address.
+METRICS_PATH = "/metrics"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AgentSettings:
+    """What a process is told by the instance that it runs on.
+
+    :param instance: names the instance in logs.
+    :param service: the service of the backend server beside it.
+    :param front: where callers are accepted.
+    :param inner: where other daemons are accepted; all listen on one port.
+    :param readiness: where the platform asks whether to send callers.
+    :param backend: the backend server beside it.
+    :param retry_rules: the budget of repeats.
+    :param stop_limit_s: time from the order to stop until the process is killed.
+    """
+
+    instance: str
+    service: str
+    region: str
+    zone: str
+    front: models.Address
+    inner: tuple[models.Address, ...]
+    readiness: models.Address
+    metrics: models.Address
+    backend: models.Target
+    retry_rules: router.RetryRules
+    stop_limit_s: float
+
+
+class Agent:
+    """The daemon beside one backend server, on an event loop.
+
+    :param settings: the settings of the process.
+    :param dialect: how callers and backend servers are spoken to.
+    """
+
+    def __init__(self, settings: AgentSettings, dialect: dialect_module.Dialect):
+        self.settings = settings
+        self._dialect = dialect
+        self._clock = asyncio.get_running_loop().time
+        self.members = directory.Directory()
+        self.counts = traffic.Counts()
+        self._stopping = False
+        self._seen_generation = -1
+        pool = backends.Pool(settings.backend.host, settings.backend.port)
+        self.runner = running.BackendRunner(dialect, pool)
+        self.gate = gate_module.Gate(self.runner, self._clock)
+        self.router = self._build_router()
+        self.front = front.Front(
+            dialect, settings.service, self.router.route, self.counts, self._clock
+        )
+        self._callers = callers.Server(self.front.handle)
+        self._readiness = callers.Server(self._answer_readiness)
+        self._metrics = callers.Server(self._answer_metrics)
+        self._inner = inner.InnerPort(
+            self.gate, FIRST_BODY_BYTES + MESSAGE_MARGIN_BYTES, lambda _: None
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _build_router(self) -> router.Router:
+        settings = self.settings
+        incarnation = secrets.token_hex(INCARNATION_BYTES)
+        vantage = placement.Vantage("", settings.region, settings.zone)
+
+        def open_link(endpoint: table.Endpoint) -> links.Link:
+            hello = messages.HelloMessage(
+                messages.PROTOCOL_VERSION,
+                settings.instance,
+                incarnation,
+                wants_reports=endpoint.region == settings.region,
+            )
+            shared = links.LinkSettings(
+                hello, FIRST_BODY_BYTES + MESSAGE_MARGIN_BYTES, self.router.observe
+            )
+            return links.Link(
+                endpoint.endpoint_id, endpoint.host, endpoint.port, shared
+            )
+
+        return router.Router(
+            vantage,
+            settings.backend.host,
+            self.members,
+            self.gate,
+            nearby.NearbyPolicy(vantage, random.Random()),
+            settings.retry_rules,
+            open_link,
+            self._clock,
+        )
+
+    # -----------------------------------------------------------------------
+    #   Life
+    # -----------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Open every port."""
+        settings = self.settings
+        for address in settings.inner:
+            await self._inner.start(address.host, address.port)
+        await self._readiness.start(settings.readiness.host, settings.readiness.port)
+        await self._metrics.start(settings.metrics.host, settings.metrics.port)
+        await self._callers.start(settings.front.host, settings.front.port)
+        self._tasks.append(asyncio.create_task(self._publish()))
+        self._tasks.append(asyncio.create_task(self._keep_up()))
+        events.emit(
+            events.Event.DAEMON_STARTED,
+            service=settings.service,
+            zone=settings.zone,
+            front_port=settings.front.port,
+            inner_port=settings.inner[0].port,
+        )
+
+    async def stop(self) -> bool:
+        """Finish every request in progress and close.
+
+        Callers keep their connections until the platform sends them elsewhere,
+        so requests are taken in for a while; each answer ends its connection.
+
+        :returns: whether all had ended before the limit.
+        """
+        events.emit(events.Event.DAEMON_STOPPING)
+        started = self._clock()
+        limit = started + self.settings.stop_limit_s - STOP_MARGIN_S
+        self._stopping = True
+        self._callers.finish()
+        self.gate.leave()
+        self._inner.publish(self.gate.report())
+        while self._clock() < limit:
+            await asyncio.sleep(UPKEEP_INTERVAL_S)
+            late = self._clock() < started + LATE_CALLERS_S
+            if not late and not self._callers.in_progress and not self.gate.in_progress:
+                break
+        drained = not self._callers.in_progress and not self.gate.in_progress
+        self._callers.close()
+        self._inner.close()
+        for task in self._tasks:
+            task.cancel()
+        events.emit(events.Event.DAEMON_STOPPED, drained=drained)
+        return drained
+
+    # -----------------------------------------------------------------------
+    #   What is known
+    # -----------------------------------------------------------------------
+
+    def configure(self, newer: routes.RouteTable) -> bool:
+        """Put a table of routes in force, unless it is older.
+
+        :returns: whether it was newer.
+        """
+        if self.front.table is not None and newer.version <= self.front.table.version:
+            return False
+        self.front.configure(newer)
+        limits = newer.limits
+        self._callers.limits = callers.Limits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout_s,
+            limits.idle_timeout_s,
+        )
+        events.emit(events.Event.CONFIGURATION_IN_FORCE, revision=newer.version)
+        return True
+
+    def own_endpoint(self) -> directory.KnownEndpoint | None:
+        """Return the entry of the backend server beside this process."""
+        host = self.settings.backend.host
+        for endpoint in self.members.endpoints_by_id.values():
+            if endpoint.host == host and endpoint.service == self.settings.service:
+                return endpoint
+        return None
+
+    async def _keep_up(self) -> None:
+        while True:
+            for endpoint_id in self.members.settle(self._clock()):
+                events.emit(events.Event.ENDPOINT_REMOVED, endpoint_id=endpoint_id)
+            if self.members.generation != self._seen_generation:
+                self._seen_generation = self.members.generation
+                self._take_in_members()
+            await asyncio.sleep(UPKEEP_INTERVAL_S)
+
+    def _take_in_members(self) -> None:
+        self.router.meet()
+        own = self.own_endpoint()
+        if own is not None and own.slots:
+            self.gate.resize(own.slots)
+        if self._stopping:
+            return
+        if own is not None and own.state is table.EndpointState.LEAVING:
+            self.gate.leave()
+        else:
+            self.gate.stay()
+
+    async def _publish(self) -> None:
+        last: messages.LoadReport | None = None
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            report = self.gate.report()
+            if report != last:
+                self._inner.publish(report)
+                last = report
+
+    # -----------------------------------------------------------------------
+    #   Questions of the platform
+    # -----------------------------------------------------------------------
+
+    async def _answer_readiness(self, request: http.Request) -> http.Response:
+        if request.target.partition("?")[0] != self._dialect.readiness_path:
+            return http.Response(404)
+        ready = self.front.table is not None and not self._stopping
+        return http.Response(200 if ready else 503)
+
+    async def _answer_metrics(self, request: http.Request) -> http.Response:
+        if request.target.partition("?")[0] != METRICS_PATH:
+            return http.Response(404)
+        queue = self.gate.queue
+        self.counts.set_gauge("slots_busy", "Requests that hold a slot.", queue.busy)
+        waiting = len(queue.waiting)
+        self.counts.set_gauge("queue_waiting", "Requests that wait.", waiting)
+        known = len(self.members.endpoints_by_id)
+        self.counts.set_gauge("known_endpoints", "Endpoints known.", known)
+        opened = self.runner.pool.opened
+        self.counts.set_gauge("backend_connections", "Connections opened.", opened)
+        text = calls.Header("Content-Type", "text/plain; version=0.0.4")
+        return http.Response(200, (text,), self.counts.render())
--- /dev/null
+++ b/src/savoryhollow/proxy/front.py
@@ -0,0 +1,189 @@
+"""Turn callers' requests into calls, and outcomes into their answers."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from savoryhollow import calls
+from savoryhollow.configuration import routes
+from savoryhollow.http1 import messages
+from savoryhollow.observe import events
+from savoryhollow.proxy import dialect as dialect_module
+from savoryhollow.proxy import traffic
+
+__all__ = ["Front"]
+
+# Taken off the time that a caller waits, for the way back, in s.
+RETURN_S = 0.02
+# Time that a caller is told to wait where no configuration is known, in s.
+UNCONFIGURED_RETRY_S = 0.3
+# Longest name of a request that is logged, in characters.
+MAX_ID_CHARACTERS = 64
+
+RouteCall = collections.abc.Callable[
+    [calls.Call, int], collections.abc.Awaitable[calls.Outcome]
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Accepted:
+    """A request with the route that it takes."""
+
+    call: calls.Call
+    route: routes.Route
+
+
+class Front:
+    """Answers the requests of callers.
+
+    :param dialect: the names of headers.
+    :param service: the service of this instance, told to backend servers.
+    :param route_call: takes a call to an endpoint.
+    :param counts: counts requests and their times.
+    :param clock: returns the present instant.
+    """
+
+    def __init__(
+        self,
+        dialect: dialect_module.Dialect,
+        service: str,
+        route_call: RouteCall,
+        counts: traffic.Counts,
+        clock: collections.abc.Callable[[], float],
+    ):
+        self._dialect = dialect
+        self.service = service
+        self._route_call = route_call
+        self._counts = counts
+        self._clock = clock
+        self.table: routes.RouteTable | None = None
+        self._turns = routes.ShareTurns()
+
+    def configure(self, table: routes.RouteTable) -> None:
+        """Put a table of routes in force."""
+        self.table = table
+        self._turns.keep_only(table)
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answer one request; cancelled where its caller has left."""
+        accepted = self._accept(request)
+        if isinstance(accepted, messages.Response):
+            return accepted
+        call = accepted.call
+        try:
+            outcome = await self._route_call(call, accepted.route.max_attempts)
+        except asyncio.CancelledError:
+            self._counts.abandon(accepted.route.name)
+            events.emit(
+                events.Event.REQUEST_ABANDONED,
+                request_id=call.request_id,
+                route=accepted.route.name,
+                after_ms=round(1000 * (self._clock() - request.received_at)),
+            )
+            raise
+        return self._answer(accepted, outcome, request.received_at)
+
+    # -----------------------------------------------------------------------
+    #   Requests
+    # -----------------------------------------------------------------------
+
+    def _accept(self, request: messages.Request) -> _Accepted | messages.Response:
+        names = self._dialect
+        request_id = messages.find(request.headers, names.request_id) or ""
+        table = self.table
+        if table is None:
+            return self._turn_away(request_id, 503, "no-configuration")
+        host = messages.find(request.headers, "host") or ""
+        route = table.find(host, request.target.partition("?")[0])
+        if route is None:
+            return self._turn_away(request_id, 404, "no-route")
+        wait_s = _read_wait_s(messages.find(request.headers, names.deadline_ms))
+        limit_s = min(wait_s - RETURN_S, route.timeout_s)
+        call = calls.Call(
+            request_id=request_id[:MAX_ID_CHARACTERS],
+            service=self._turns.take(route),
+            rank=route.name,
+            caller="",
+            deadline=request.received_at + limit_s,
+            idempotent=route.idempotent,
+            depth=0,
+            attempts_left=route.max_attempts,
+            method=request.method,
+            path=request.target,
+            headers=self._passed_on(request),
+            body=request.body,
+            order=route.order,
+            objective=request.received_at + route.objective_s - RETURN_S,
+        )
+        return _Accepted(call, route)
+
+    def _passed_on(self, request: messages.Request) -> tuple[calls.Header, ...]:
+        name = self._dialect.caller_service
+        kept = tuple(
+            header
+            for header in messages.end_to_end(request.headers)
+            if header.name.lower() != name.lower()
+        )
+        return (*kept, calls.Header(name, self.service))
+
+    def _turn_away(self, request_id: str, status: int, reason: str):
+        version = self.table.version if self.table is not None else None
+        events.emit(
+            events.Event.REQUEST_REFUSED,
+            request_id=request_id[:MAX_ID_CHARACTERS],
+            status=status,
+            reason=reason,
+            version=version,
+        )
+        self._counts.refuse("", reason)
+        headers: tuple[calls.Header, ...] = ()
+        if status == 503:
+            headers = (calls.Header("Retry-After", f"{UNCONFIGURED_RETRY_S:.2f}"),)
+        return messages.Response(status, headers)
+
+    # -----------------------------------------------------------------------
+    #   Answers
+    # -----------------------------------------------------------------------
+
+    def _answer(
+        self, accepted: _Accepted, outcome: calls.Outcome, received_at: float
+    ) -> messages.Response:
+        took_s = self._clock() - received_at
+        route = accepted.route
+        if isinstance(outcome, calls.NotRun):
+            self._counts.refuse(route.name, outcome.reason.value)
+            self._log(events.Event.REQUEST_REFUSED, accepted, 503, took_s, outcome)
+            after = f"{outcome.retry_after_ms / 1000:.2f}"
+            return messages.Response(503, (calls.Header("Retry-After", after),))
+        if isinstance(outcome, calls.Served):
+            response = messages.Response(outcome.status, outcome.headers, outcome.body)
+        elif isinstance(outcome, calls.TimedOut):
+            response = messages.Response(504)
+        else:
+            response = messages.Response(502)
+        self._counts.end(route.name, response.status, took_s)
+        status = response.status
+        self._log(events.Event.REQUEST_ENDED, accepted, status, took_s, outcome)
+        return response
+
+    def _log(self, event, accepted: _Accepted, status: int, took_s: float, outcome):
+        call = accepted.call
+        events.emit(
+            event,
+            request_id=call.request_id,
+            route=accepted.route.name,
+            service=call.service,
+            status=status,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", None),
+            detail=getattr(outcome, "detail", None),
+            took_ms=round(1000 * took_s),
+            version=self.table.version if self.table is not None else None,
+        )
+
+
+def _read_wait_s(value: str | None) -> float:
+    try:
+        return max(0.0, float(value)) / 1000 if value else float("inf")
+    except ValueError:
+        return float("inf")
--- /dev/null
+++ b/src/savoryhollow/proxy/gate.py
@@ -0,0 +1,229 @@
+"""The only way into the backend server of this instance."""
+
+import asyncio
+import collections.abc
+import math
+
+from savoryhollow import calls
+from savoryhollow.admission import objectives
+from savoryhollow.observe import events
+from savoryhollow.proxy import running
+from savoryhollow.wire import messages
+
+__all__ = ["Answer", "Gate", "usable_slots"]
+
+Answer = messages.ServedMessage | messages.NotRunMessage | messages.UnknownMessage
+
+# Part of its slots up to which a backend server keeps its usual pace.
+KNEE_SHARE = 0.8
+# Shortest and longest time after which a refused request may come again, in ms.
+MIN_RETRY_AFTER_MS = 50
+MAX_RETRY_AFTER_MS = 1_000
+# Slots assumed of a backend server that names none.
+DEFAULT_SLOTS = 8
+# Age at which what a backend server said of its pace counts for nothing, in s.
+PACE_LIMIT_S = 0.5
+
+REASONS_BY_REFUSAL = {
+    objectives.Refusal.TOO_LATE: calls.NotRunReason.DEADLINE,
+    objectives.Refusal.FULL: calls.NotRunReason.QUEUE_FULL,
+    objectives.Refusal.LEAVING: calls.NotRunReason.LEAVING,
+}
+
+
+def usable_slots(slots: int) -> int:
+    """Return the slots that are filled with new work, of all that there are."""
+    return max(1, math.floor(KNEE_SHARE * slots))
+
+
+class Gate:
+    """Admits requests to the backend server, and says what became of them.
+
+    :param runner: sends one request to the backend server.
+    :param clock: returns the present instant.
+    """
+
+    def __init__(
+        self,
+        runner: running.BackendRunner,
+        clock: collections.abc.Callable[[], float],
+    ):
+        self._runner = runner
+        self._clock = clock
+        slots = usable_slots(DEFAULT_SLOTS)
+        self.queue = objectives.ObjectiveQueue(slots, DEFAULT_SLOTS - slots)
+        self.leaving = False
+        self.in_progress = 0
+        self._futures: dict[objectives.Waiting, asyncio.Future[None]] = {}
+
+    # -----------------------------------------------------------------------
+    #   Requests
+    # -----------------------------------------------------------------------
+
+    async def serve(self, call: messages.CallMessage) -> Answer:
+        """Run a request, or say truthfully what happened.
+
+        Cancelling it takes a waiting request out of the queue, and ends the
+        connection on which one runs.
+
+        :param call: the request.
+        """
+        self.in_progress += 1
+        try:
+            return await self._serve(call)
+        finally:
+            self.in_progress -= 1
+
+    async def _serve(self, call: messages.CallMessage) -> Answer:
+        now = self._clock()
+        deadline = now + call.remaining_us / 1e6
+        entry = objectives.Waiting(
+            kind=call.rank,
+            order=call.order,
+            called=call.depth > 0,
+            objective=now + call.objective_us / 1e6,
+            deadline=deadline,
+        )
+        if self.leaving:
+            return self._refuse(call, entry, calls.NotRunReason.LEAVING)
+        await self._acquire(entry, now)
+        if entry.refusal is not None:
+            return self._refuse(call, entry, REASONS_BY_REFUSAL[entry.refusal])
+        started = self._clock()
+        held_s: float | None = None
+        try:
+            if self.leaving:
+                return self._refuse(call, entry, calls.NotRunReason.LEAVING)
+            result = await self._runner.run(call, deadline)
+            if result.response is not None:
+                held_s = self._clock() - started
+        finally:
+            self.queue.release(entry.kind, held_s)
+            self._grant()
+        return self._answer(call, entry, result)
+
+    def _answer(self, call, entry, result: running.RunResult) -> Answer:
+        if result.reason is not None:
+            return self._refuse(call, entry, result.reason)
+        if result.response is None:
+            events.emit(
+                events.Event.RUN_UNKNOWN,
+                request_id=call.request_id,
+                endpoint_id=call.expected_endpoint,
+                detail=result.detail,
+            )
+            return messages.UnknownMessage(
+                call.request_id, result.detail, self.report()
+            )
+        response = result.response
+        return messages.ServedMessage(
+            call.request_id,
+            response.status,
+            response.headers,
+            response.body,
+            self.report(),
+        )
+
+    def _refuse(self, call, entry, reason: calls.NotRunReason) -> Answer:
+        retry_after_ms = self.retry_after_ms(entry)
+        events.emit(
+            events.Event.RUN_REFUSED,
+            request_id=call.request_id,
+            endpoint_id=call.expected_endpoint,
+            reason=reason.value,
+            remaining_ms=call.remaining_us // 1000,
+            expected_ms=round(1000 * entry.work_s),
+            busy=self.queue.busy,
+            slots=self.queue.slots,
+            waiting=len(self.queue.waiting),
+        )
+        return messages.NotRunMessage(
+            call.request_id, reason, retry_after_ms, self.report()
+        )
+
+    # -----------------------------------------------------------------------
+    #   Slots
+    # -----------------------------------------------------------------------
+
+    async def _acquire(self, entry: objectives.Waiting, now: float) -> None:
+        refused = self.queue.offer(entry, now)
+        if entry in refused:
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._futures[entry] = future
+        self._settle(refused)
+        self._grant()
+        try:
+            async with asyncio.timeout_at(entry.latest_start):
+                await future
+        except TimeoutError:
+            if not self.queue.withdraw(entry):
+                # It got its slot in the same turn of the loop.
+                return
+            entry.refusal = objectives.Refusal.TOO_LATE
+        except asyncio.CancelledError:
+            if not self.queue.withdraw(entry) and entry.refusal is None:
+                self.queue.release(entry.kind, None)
+                self._grant()
+            raise
+        finally:
+            self._futures.pop(entry, None)
+
+    def _settle(self, entries: list[objectives.Waiting]) -> None:
+        for entry in entries:
+            future = self._futures.get(entry)
+            if future is not None and not future.done():
+                future.set_result(None)
+
+    def _grant(self) -> None:
+        now = self._clock()
+        self._settle(self.queue.expire(now))
+        while (entry := self.queue.take(now)) is not None:
+            self._settle([entry])
+
+    def resize(self, slots: int) -> None:
+        """Take in how many requests the backend server runs at one time."""
+        usable = usable_slots(slots)
+        self.queue.resize(usable, slots - usable)
+        self._grant()
+
+    def leave(self) -> None:
+        """Refuse what waits and what comes from now on; what runs goes on."""
+        self.leaving = True
+        for entry in tuple(self._futures):
+            if self.queue.withdraw(entry):
+                entry.refusal = objectives.Refusal.LEAVING
+                self._settle([entry])
+
+    def stay(self) -> None:
+        """Take requests in again."""
+        self.leaving = False
+
+    # -----------------------------------------------------------------------
+    #   Reports
+    # -----------------------------------------------------------------------
+
+    @property
+    def pace_percent(self) -> int:
+        """How long work takes at this moment; 100 is usual."""
+        load = self._runner.load
+        if load is None or self._clock() - self._runner.load_at > PACE_LIMIT_S:
+            return 100
+        return load.pace_percent
+
+    def retry_after_ms(self, entry: objectives.Waiting) -> int:
+        """Return when a refused request may come again, in ms."""
+        wait_ms = 1000 * self.queue.expected_wait_s(entry, self._clock())
+        return int(max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms)))
+
+    def report(self) -> messages.LoadReport:
+        """Return the load as it is now."""
+        return messages.LoadReport(
+            busy=self.queue.busy,
+            queued=len(self.queue.waiting),
+            slots=max(1, self.queue.slots),
+            service_us=int(self.queue.service_s * 1e6),
+            leaving=self.leaving,
+            queued_by_order=self.queue.waiting_by_order(),
+            pace_percent=self.pace_percent,
+        )
--- /dev/null
+++ b/src/savoryhollow/proxy/inner.py
@@ -0,0 +1,112 @@
+"""The port on which the daemons of other instances are accepted."""
+
+import asyncio
+import collections.abc
+
+import websockets
+import websockets.asyncio.server
+
+from savoryhollow import errors
+from savoryhollow.observe import events
+from savoryhollow.proxy import gate as gate_module
+from savoryhollow.wire import codec, messages
+
+__all__ = ["InnerPort"]
+
+
+class InnerPort:
+    """Takes requests from other daemons to the gate.
+
+    :param gate: the gate of this instance.
+    :param max_message_bytes: the largest message accepted.
+    :param answer_aside: answers messages that ask for no slot, or returns None.
+    """
+
+    def __init__(
+        self,
+        gate: gate_module.Gate,
+        max_message_bytes: int,
+        answer_aside: collections.abc.Callable[
+            [messages.Message], messages.Message | None
+        ],
+    ):
+        self._gate = gate
+        self._max_message_bytes = max_message_bytes
+        self._answer_aside = answer_aside
+        self._servers: list[websockets.asyncio.server.Server] = []
+        self._listeners: set[websockets.asyncio.server.ServerConnection] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on one more address."""
+        self._servers.append(
+            await websockets.asyncio.server.serve(
+                self._serve_peer,
+                host,
+                port,
+                compression=None,
+                ping_interval=None,
+                max_size=self._max_message_bytes,
+                server_header=None,
+            )
+        )
+
+    def publish(self, report: messages.LoadReport) -> None:
+        """Send a load to every daemon that asked for it; skip those that lag."""
+        if self._listeners:
+            data = codec.encode(messages.ReportMessage(report))
+            websockets.broadcast(self._listeners, data)
+
+    def close(self) -> None:
+        """Accept no more daemons and end every link."""
+        for server in self._servers:
+            server.close()
+
+    # -----------------------------------------------------------------------
+    #   One peer
+    # -----------------------------------------------------------------------
+
+    async def _serve_peer(self, connection) -> None:
+        tasks_by_id: dict[str, asyncio.Task[None]] = {}
+        try:
+            async for data in connection:
+                self._take(connection, codec.decode(data), tasks_by_id)
+        except errors.WireError as error:
+            events.emit(events.Event.PEER_LOST, detail=str(error))
+        except websockets.ConnectionClosed:
+            # What the peer still waited for is cancelled below.
+            pass
+        finally:
+            self._listeners.discard(connection)
+            for task in tuple(tasks_by_id.values()):
+                task.cancel()
+
+    def _take(self, connection, message, tasks_by_id) -> None:
+        if isinstance(message, messages.CallMessage):
+            request_id = message.request_id
+            task = asyncio.create_task(self._serve_call(connection, message))
+            tasks_by_id[request_id] = task
+            task.add_done_callback(lambda _: tasks_by_id.pop(request_id, None))
+        elif isinstance(message, messages.CancelMessage):
+            task = tasks_by_id.get(message.request_id)
+            if task is not None:
+                task.cancel()
+        elif isinstance(message, messages.HelloMessage):
+            if message.version != messages.PROTOCOL_VERSION:
+                text = f"the peer speaks version {message.version}; run matching ones"
+                raise errors.VersionMismatchError(text)
+            if message.wants_reports:
+                self._listeners.add(connection)
+        else:
+            answer = self._answer_aside(message)
+            if answer is not None:
+                asyncio.create_task(self._send(connection, answer))
+
+    async def _serve_call(self, connection, call: messages.CallMessage) -> None:
+        await self._send(connection, await self._gate.serve(call))
+
+    async def _send(self, connection, message: messages.Message) -> None:
+        try:
+            await connection.send(codec.encode(message))
+        except websockets.ConnectionClosed:
+            # The peer has noticed by itself and judges what may have run.
+            return
--- /dev/null
+++ b/src/savoryhollow/proxy/links.py
@@ -0,0 +1,212 @@
+"""Connections to the daemons of other instances.
+
+A link carries many requests at one time. It is opened once and kept, and each
+answer brings the load of the gate behind it.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+import websockets
+import websockets.asyncio.client
+
+from savoryhollow import errors
+from savoryhollow.observe import events
+from savoryhollow.proxy import gate
+from savoryhollow.wire import codec, messages
+
+__all__ = ["Link", "LinkSettings"]
+
+# Time that a peer may take to accept a link, in s.
+OPEN_TIMEOUT_S = 1.0
+# Shortest and longest pause before a link is opened again, in s.
+MIN_PAUSE_S = 0.05
+MAX_PAUSE_S = 1.0
+# Silence after which a peer that owes an answer is asked for a sign of life, in s.
+QUIET_S = 0.4
+# Time that it has for one, in s.
+PING_TIMEOUT_S = 0.4
+# Time past its deadline in which a request's answer may still arrive, in s.
+ANSWER_GRACE_S = 0.15
+# How often silence is looked for, in s.
+WATCH_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkSettings:
+    """What every link of a process shares.
+
+    :param on_report: takes in a load that came unasked.
+    """
+
+    hello: messages.HelloMessage
+    max_message_bytes: int
+    on_report: collections.abc.Callable[[str, messages.LoadReport], None]
+
+
+class Link:
+    """The connection to the daemon beside one endpoint.
+
+    :param endpoint_id: the endpoint.
+    :param host: the IP number of its instance.
+    :param port: the inner port of its daemon.
+    """
+
+    def __init__(self, endpoint_id: str, host: str, port: int, settings: LinkSettings):
+        self.endpoint_id = endpoint_id
+        self.host = host
+        self.port = port
+        self.connected = False
+        self._settings = settings
+        self._answers_by_id: dict[str, asyncio.Future[gate.Answer]] = {}
+        self._connection: websockets.asyncio.client.ClientConnection | None = None
+        self._heard_at = 0.0
+        self._tasks = [asyncio.create_task(self._run())]
+
+    @property
+    def busy(self) -> bool:
+        """Whether an answer is still owed."""
+        return bool(self._answers_by_id)
+
+    async def call(self, message: messages.CallMessage) -> gate.Answer:
+        """Send a request and wait for its answer; cancelling it cancels it there.
+
+        :raises errors.ChannelClosedError: where the link ended first.
+        :raises errors.PeerUnreachableError: where the request was never sent.
+        """
+        connection = self._connection
+        if connection is None:
+            text = f"no link to {self.host}; see to its daemon"
+            raise errors.PeerUnreachableError(text)
+        answer: asyncio.Future[gate.Answer] = asyncio.get_running_loop().create_future()
+        self._answers_by_id[message.request_id] = answer
+        try:
+            await self._send(connection, message)
+            return await answer
+        except asyncio.CancelledError:
+            self._cancel(connection, message.request_id)
+            raise
+        finally:
+            self._answers_by_id.pop(message.request_id, None)
+
+    async def _send(self, connection, message: messages.Message) -> None:
+        try:
+            await connection.send(codec.encode(message))
+        except websockets.ConnectionClosed as error:
+            text = f"the link to {self.host} ended; see to its daemon"
+            raise errors.ChannelClosedError(text) from error
+
+    def _cancel(self, connection, request_id: str) -> None:
+        async def send() -> None:
+            try:
+                await self._send(connection, messages.CancelMessage(request_id))
+            except errors.ChannelClosedError:
+                # The end of the link cancels the request as well.
+                return
+
+        asyncio.get_running_loop().create_task(send())
+
+    def close(self) -> None:
+        """End the link for good."""
+        for task in self._tasks:
+            task.cancel()
+        self._fail_all("the endpoint is gone")
+
+    # -----------------------------------------------------------------------
+    #   The connection
+    # -----------------------------------------------------------------------
+
+    async def _run(self) -> None:
+        pause_s = MIN_PAUSE_S
+        while True:
+            try:
+                await self._connect()
+                pause_s = MIN_PAUSE_S
+            except (OSError, TimeoutError, websockets.WebSocketException) as error:
+                self._note_lost(repr(error))
+            except errors.WireError as error:
+                self._note_lost(str(error))
+            await asyncio.sleep(pause_s)
+            pause_s = min(MAX_PAUSE_S, 2 * pause_s)
+
+    async def _connect(self) -> None:
+        settings = self._settings
+        connection = await websockets.asyncio.client.connect(
+            f"ws://{self.host}:{self.port}/",
+            open_timeout=OPEN_TIMEOUT_S,
+            close_timeout=OPEN_TIMEOUT_S,
+            ping_interval=None,
+            compression=None,
+            max_size=settings.max_message_bytes,
+            proxy=None,
+            user_agent_header=None,
+        )
+        watcher: asyncio.Task[None] | None = None
+        try:
+            await connection.send(codec.encode(settings.hello))
+            self._heard_at = asyncio.get_running_loop().time()
+            self._connection = connection
+            watcher = asyncio.create_task(self._watch(connection))
+            self._note_regained()
+            async for data in connection:
+                self._take(data)
+        finally:
+            self._connection = None
+            if watcher is not None:
+                watcher.cancel()
+            connection.transport.abort()
+            self._note_lost("the connection ended")
+
+    def _take(self, data) -> None:
+        self._heard_at = asyncio.get_running_loop().time()
+        message = codec.decode(data)
+        if isinstance(message, messages.ReportMessage):
+            self._settings.on_report(self.endpoint_id, message.load)
+        elif isinstance(message, gate.Answer):
+            answer = self._answers_by_id.get(message.request_id)
+            if answer is not None and not answer.done():
+                answer.set_result(message)
+
+    async def _watch(self, connection) -> None:
+        """End a connection on which an answer is owed and nothing comes."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(WATCH_S)
+            if not self._answers_by_id or loop.time() - self._heard_at < QUIET_S:
+                continue
+            try:
+                async with asyncio.timeout(PING_TIMEOUT_S):
+                    await (await connection.ping())
+                self._heard_at = loop.time()
+            except (TimeoutError, websockets.ConnectionClosed):
+                connection.transport.abort()
+                return
+
+    # -----------------------------------------------------------------------
+    #   Losses
+    # -----------------------------------------------------------------------
+
+    def _note_regained(self) -> None:
+        self.connected = True
+        events.emit(
+            events.Event.PEER_REGAINED, endpoint_id=self.endpoint_id, host=self.host
+        )
+
+    def _note_lost(self, detail: str) -> None:
+        if self.connected:
+            events.emit(
+                events.Event.PEER_LOST,
+                endpoint_id=self.endpoint_id,
+                host=self.host,
+                detail=detail,
+                open_requests=len(self._answers_by_id),
+            )
+        self.connected = False
+        self._fail_all(detail)
+
+    def _fail_all(self, detail: str) -> None:
+        for answer in self._answers_by_id.values():
+            if not answer.done():
+                text = f"the link to {self.host} ended: {detail}; see to its daemon"
+                answer.set_exception(errors.ChannelClosedError(text))
--- /dev/null
+++ b/src/savoryhollow/proxy/router.py
@@ -0,0 +1,350 @@
+"""Take a call to an endpoint that can serve it, within what may be repeated."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import itertools
+
+from savoryhollow import calls, errors
+from savoryhollow.budgets import shared
+from savoryhollow.membership import directory, table
+from savoryhollow.observe import events
+from savoryhollow.proxy import gate as gate_module
+from savoryhollow.proxy import links
+from savoryhollow.recovery import retrying
+from savoryhollow.routing import evidence as evidence_module
+from savoryhollow.routing import nearby, placement
+from savoryhollow.wire import messages
+
+__all__ = ["RetryRules", "Router"]
+
+# Gates that are asked for one request before it is refused.
+MAX_GATES_ASKED = 4
+# Time that a caller is told to wait where no endpoint could be asked, in ms.
+NO_ENDPOINT_RETRY_MS = 250
+# Refusals of a gate that say nothing against its endpoint.
+_HEALTHY_REFUSALS = frozenset(calls.NotRunReason) - {
+    calls.NotRunReason.UNREACHABLE,
+    calls.NotRunReason.MISDIRECTED,
+}
+# Refusals by the backend server itself; the request has reached it.
+_BY_BACKEND = frozenset((calls.NotRunReason.REJECTED, calls.NotRunReason.MISDIRECTED))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryRules:
+    """The budget of repeats, see :class:`shared.SharedRetryBudget`."""
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What the attempts of one call have come to so far.
+
+    :param sent: attempts that may have reached a backend server.
+    :param maybe_run: the first attempt that may have run.
+    :param failure: the failure that a backend server answered.
+    """
+
+    sent: int = 0
+    asked: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    maybe_run: calls.Outcome | None = None
+    failure: calls.Served | None = None
+    last: calls.Outcome | None = None
+    retry_after_ms: int = NO_ENDPOINT_RETRY_MS
+
+
+class Router:
+    """Places calls on endpoints.
+
+    :param vantage: where this process stands; its endpoint is known by the host.
+    :param members: the endpoints known.
+    :param local_gate: the gate of this process.
+    :param policy: chooses among candidates.
+    :param retry_rules: how much may be repeated.
+    :param open_link: opens a link to the daemon beside an endpoint.
+    :param clock: returns the present instant.
+    """
+
+    def __init__(
+        self,
+        vantage: placement.Vantage,
+        host: str,
+        members: directory.Directory,
+        local_gate: gate_module.Gate,
+        policy: nearby.NearbyPolicy,
+        retry_rules: RetryRules,
+        open_link: collections.abc.Callable[[table.Endpoint], links.Link],
+        clock: collections.abc.Callable[[], float],
+    ):
+        self._vantage = vantage
+        self._host = host
+        self._members = members
+        self._gate = local_gate
+        self._policy = policy
+        self._retry_rules = retry_rules
+        self._open_link = open_link
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self.links_by_host: dict[str, links.Link] = {}
+        self.evidence_by_id: dict[str, evidence_module.EndpointEvidence] = {}
+        self.budgets_by_service: dict[str, shared.SharedRetryBudget] = {}
+
+    # -----------------------------------------------------------------------
+    #   Endpoints
+    # -----------------------------------------------------------------------
+
+    def meet(self) -> None:
+        """Open links to new endpoints and drop what is gone."""
+        endpoints = self._members.endpoints_by_id.values()
+        hosts = {endpoint.host: endpoint for endpoint in endpoints}
+        hosts.pop(self._host, None)
+        for host, endpoint in hosts.items():
+            link = self.links_by_host.get(host)
+            if link is None:
+                self.links_by_host[host] = self._open_link(endpoint)
+            else:
+                link.endpoint_id = endpoint.endpoint_id
+        for host in self.links_by_host.keys() - hosts.keys():
+            if not self.links_by_host[host].busy:
+                self.links_by_host.pop(host).close()
+        for endpoint_id in self.evidence_by_id.keys() - self._members.endpoints_by_id:
+            if not self.evidence_by_id[endpoint_id].in_flight:
+                del self.evidence_by_id[endpoint_id]
+
+    def observe(self, endpoint_id: str, report: messages.LoadReport) -> None:
+        """Take in a load that a gate sent unasked."""
+        self._evidence(endpoint_id).observe(report, self._clock())
+
+    def _evidence(self, endpoint_id: str) -> evidence_module.EndpointEvidence:
+        return self.evidence_by_id.setdefault(
+            endpoint_id, evidence_module.EndpointEvidence()
+        )
+
+    def _candidates(self, call: calls.Call, tried: set[str]):
+        found = []
+        for endpoint in self._members.live(call.service):
+            if endpoint.endpoint_id in tried:
+                continue
+            local = endpoint.host == self._host
+            evidence = self._evidence(endpoint.endpoint_id)
+            if local:
+                evidence.observe(self._gate.report(), self._clock())
+            elif not self._is_linked(endpoint.host):
+                continue
+            found.append(placement.Candidate(endpoint, evidence))
+        return found
+
+    def _is_linked(self, host: str) -> bool:
+        link = self.links_by_host.get(host)
+        return link is not None and link.connected
+
+    # -----------------------------------------------------------------------
+    #   Routing
+    # -----------------------------------------------------------------------
+
+    async def route(self, call: calls.Call, max_attempts: int) -> calls.Outcome:
+        """Place a call until it is served, refused, or its outcome is unknown.
+
+        :param call: the call.
+        :param max_attempts: endpoints that it may be sent to.
+        """
+        budget = self._budget(call.service)
+        budget.note_first(self._clock())
+        progress = _Progress()
+        while True:
+            now = self._clock()
+            if now >= call.deadline or progress.asked >= MAX_GATES_ASKED:
+                return self._give_up(call, progress)
+            if progress.sent and not self._may_repeat(progress, max_attempts, budget):
+                return self._give_up(call, progress)
+            candidates = self._candidates(call, progress.tried)
+            placed = self._policy.choose(candidates, now)
+            if placed is None:
+                return self._give_up(call, progress)
+            if progress.sent and not budget.take(now, self._daemons):
+                return self._give_up(call, progress)
+            outcome = await self._attempt(call, placed, progress)
+            if self._is_final(call, outcome):
+                return outcome
+            progress.last = outcome
+
+    @property
+    def _daemons(self) -> int:
+        return len(self.links_by_host) + 1
+
+    def _budget(self, service: str) -> shared.SharedRetryBudget:
+        budget = self.budgets_by_service.get(service)
+        if budget is None:
+            rules = self._retry_rules
+            budget = shared.SharedRetryBudget(rules.ratio, rules.slack, rules.window_s)
+            self.budgets_by_service[service] = budget
+        return budget
+
+    def _may_repeat(self, progress, max_attempts, budget) -> bool:
+        if progress.sent >= max_attempts:
+            return False
+        return budget.left(self._clock(), self._daemons) >= 1.0
+
+    @staticmethod
+    def _is_final(call: calls.Call, outcome: calls.Outcome) -> bool:
+        if isinstance(outcome, calls.Served):
+            failed = outcome.status >= retrying.HTTP_FAILURE
+            return not (failed and call.idempotent)
+        if isinstance(outcome, calls.NotRun):
+            return False
+        return not call.idempotent
+
+    def _give_up(self, call: calls.Call, progress: _Progress) -> calls.Outcome:
+        """Return what a caller is told when no further attempt is made."""
+        if progress.failure is not None:
+            return progress.failure
+        if progress.maybe_run is not None:
+            return progress.maybe_run
+        reason = calls.NotRunReason.NO_ENDPOINT
+        if isinstance(progress.last, calls.NotRun):
+            reason = progress.last.reason
+        return calls.NotRun(call.request_id, reason, progress.retry_after_ms)
+
+    # -----------------------------------------------------------------------
+    #   One attempt
+    # -----------------------------------------------------------------------
+
+    async def _attempt(
+        self, call: calls.Call, placed: nearby.Placed, progress: _Progress
+    ) -> calls.Outcome:
+        endpoint = placed.candidate.endpoint
+        evidence = placed.candidate.evidence
+        progress.tried.add(endpoint.endpoint_id)
+        progress.asked += 1
+        started = self._clock()
+        message = self._message(call, endpoint, started)
+        evidence.begin()
+        try:
+            answer = await self._send(endpoint, message, call.deadline)
+        finally:
+            evidence.end()
+        outcome = self._judge(call, endpoint, answer, progress)
+        self._learn(evidence, answer, outcome, started)
+        events.emit(
+            events.Event.ATTEMPT_ENDED,
+            request_id=call.request_id,
+            attempt_id=message.request_id,
+            endpoint_id=endpoint.endpoint_id,
+            zone=endpoint.zone,
+            cost_ms=round(1000 * placed.cost_s),
+            report_age_ms=_report_age_ms(placed),
+            candidates=placed.candidates,
+            membership=self._members.generation,
+            took_ms=round(1000 * (self._clock() - started)),
+            outcome=type(outcome).__name__,
+            detail=_detail(outcome),
+        )
+        return outcome
+
+    async def _send(self, endpoint, message, deadline: float):
+        """Return the gate's answer, or the error in its place."""
+        try:
+            async with asyncio.timeout_at(deadline + links.ANSWER_GRACE_S):
+                if endpoint.host == self._host:
+                    return await self._gate.serve(message)
+                return await self.links_by_host[endpoint.host].call(message)
+        except TimeoutError:
+            text = "no answer by the deadline; see to its daemon"
+            return errors.ChannelSilentError(text)
+        except errors.WireError as error:
+            return error
+
+    def _message(self, call, endpoint, now: float) -> messages.CallMessage:
+        return messages.CallMessage(
+            request_id=f"{call.request_id}.{next(self._numbers)}",
+            service=call.service,
+            rank=call.rank,
+            caller=call.caller,
+            remaining_us=max(0, int(1e6 * (call.deadline - now))),
+            idempotent=call.idempotent,
+            depth=call.depth,
+            attempts_left=call.attempts_left,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=call.body,
+            order=call.order,
+            objective_us=int(1e6 * (call.objective - now)),
+            expected_endpoint=endpoint.endpoint_id,
+        )
+
+    def _judge(self, call, endpoint, answer, progress) -> calls.Outcome:
+        request_id = call.request_id
+        if isinstance(answer, messages.ServedMessage):
+            progress.sent += 1
+            served = calls.Served(
+                request_id,
+                endpoint.endpoint_id,
+                answer.status,
+                answer.headers,
+                answer.body,
+            )
+            if served.status >= retrying.HTTP_FAILURE:
+                progress.failure = served
+            return served
+        if isinstance(answer, messages.NotRunMessage):
+            progress.sent += answer.reason in _BY_BACKEND
+            progress.retry_after_ms = answer.retry_after_ms
+            return calls.NotRun(request_id, answer.reason, answer.retry_after_ms)
+        if isinstance(answer, errors.PeerUnreachableError):
+            reason = calls.NotRunReason.UNREACHABLE
+            return calls.NotRun(request_id, reason, NO_ENDPOINT_RETRY_MS)
+        progress.sent += 1
+        detail = str(answer) if isinstance(answer, Exception) else answer.detail
+        outcome = self._unknown(call, endpoint, detail)
+        progress.maybe_run = progress.maybe_run or outcome
+        return outcome
+
+    def _unknown(self, call, endpoint, detail: str) -> calls.Outcome:
+        if self._clock() >= call.deadline:
+            return calls.TimedOut(call.request_id, endpoint.endpoint_id)
+        origin = calls.Origin("", 0, 0)
+        ticket = calls.Ticket(call.request_id, endpoint.endpoint_id, "", origin)
+        return calls.Unknown(call.request_id, ticket, detail)
+
+    def _learn(self, evidence, answer, outcome, started: float) -> None:
+        now = self._clock()
+        trusted = evidence.trusted
+        report = getattr(answer, "load", None)
+        if report is not None:
+            evidence.observe(report, now)
+        if isinstance(outcome, calls.Served):
+            if outcome.status >= retrying.HTTP_FAILURE:
+                evidence.fail(now, reached=True)
+            else:
+                evidence.succeed(now - started, now)
+        elif isinstance(outcome, calls.NotRun):
+            if outcome.reason not in _HEALTHY_REFUSALS:
+                evidence.fail(now, reached=False)
+        elif not isinstance(outcome, calls.TimedOut):
+            evidence.fail(now, reached=True)
+        if trusted and not evidence.trusted:
+            events.emit(
+                events.Event.ENDPOINT_DISTRUSTED,
+                request_id=outcome.request_id,
+                failure_share=round(evidence.failure_share, 2),
+                detail=_detail(outcome),
+            )
+
+
+def _detail(outcome: calls.Outcome) -> str:
+    if isinstance(outcome, calls.Served):
+        return str(outcome.status)
+    if isinstance(outcome, calls.NotRun):
+        return outcome.reason.value
+    return outcome.detail if isinstance(outcome, calls.Unknown) else "deadline"
+
+
+def _report_age_ms(placed: nearby.Placed) -> int | None:
+    age_s = placed.report_age_s
+    return round(1000 * age_s) if age_s < evidence_module.EVIDENCE_LIMIT_S else None
--- /dev/null
+++ b/src/savoryhollow/proxy/running.py
@@ -0,0 +1,157 @@
+"""Run a request at the backend server of this instance, and judge its answer."""
+
+import asyncio
+import dataclasses
+import math
+
+from savoryhollow import calls, errors
+from savoryhollow.http1 import backends, messages
+from savoryhollow.proxy import dialect as dialect_module
+from savoryhollow.wire import messages as wire
+
+__all__ = ["BackendLoad", "BackendRunner", "RunResult", "read_load"]
+
+# Time past the deadline in which the backend server may still say so itself, in s.
+ANSWER_GRACE_S = 0.1
+# Time kept for the way back to the caller, in s.
+RETURN_S = 0.005
+
+NOT_RUN_STATUSES = frozenset((421,))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendLoad:
+    """What a backend server says of its own load.
+
+    :param pace_percent: how long work takes at this moment; 100 is usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace_percent: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunResult:
+    """What a run came to.
+
+    :param response: the whole answer, if there is one that may be passed on.
+    :param reason: why it was not run, if that is proved.
+    :param detail: why nothing is known, else.
+    """
+
+    response: messages.Response | None = None
+    reason: calls.NotRunReason | None = None
+    detail: str = ""
+
+
+def read_load(value: str | None) -> BackendLoad | None:
+    """Read a header of load, or return None where it can't be read."""
+    parts = (value or "").split(",")
+    try:
+        figures = [int(float(part)) for part in parts]
+    except (ValueError, OverflowError):
+        return None
+    if len(figures) < 3 or min(figures) < 0:
+        return None
+    pace = figures[3] if len(figures) > 3 else 100
+    return BackendLoad(figures[0], figures[1], figures[2], pace)
+
+
+class BackendRunner:
+    """Sends requests to the backend server of this instance.
+
+    :param dialect: the names of headers.
+    :param pool: the connections to it.
+    """
+
+    def __init__(self, dialect: dialect_module.Dialect, pool: backends.Pool):
+        self._dialect = dialect
+        self.pool = pool
+        self.load: BackendLoad | None = None
+        self.load_at = float("-inf")
+
+    async def run(self, call: wire.CallMessage, deadline: float) -> RunResult:
+        """Run a request, at most once.
+
+        :param call: the request.
+        :param deadline: the instant after which its answer is of no use.
+        """
+        try:
+            connection, reused = await self.pool.acquire()
+        except errors.BackendError as error:
+            return RunResult(reason=calls.NotRunReason.UNREACHABLE, detail=str(error))
+        now = self.pool.clock()
+        if now >= deadline - RETURN_S:
+            self.pool.release(connection)
+            return RunResult(reason=calls.NotRunReason.DEADLINE)
+        data = messages.render_request(self._request(call, deadline - now))
+        echoed = messages.find(call.headers, self._dialect.request_id)
+        try:
+            async with asyncio.timeout_at(deadline + ANSWER_GRACE_S):
+                response = await connection.exchange(
+                    data, self._dialect.request_id, echoed
+                )
+        except TimeoutError:
+            return RunResult(detail="no answer by the deadline")
+        except errors.BackendError as error:
+            if not error.started:
+                reason = calls.NotRunReason.UNREACHABLE
+                return RunResult(reason=reason, detail=str(error))
+            if reused and not error.heard:
+                self.pool.forgotten()
+            return RunResult(detail=str(error))
+        self.pool.release(connection)
+        return self._judge(response)
+
+    async def probe(self, path: str) -> BackendLoad | None:
+        """Ask the backend server for its load; None where it doesn't say."""
+        try:
+            connection, _ = await self.pool.acquire()
+            headers = (calls.Header("Host", f"{self.pool.host}:{self.pool.port}"),)
+            request = messages.Request("GET", path, headers, b"")
+            async with asyncio.timeout(1.0):
+                response = await connection.exchange(messages.render_request(request))
+        except (errors.BackendError, TimeoutError):
+            return None
+        self.pool.release(connection)
+        self._note_load(response)
+        return self.load
+
+    def _request(self, call: wire.CallMessage, remaining_s: float) -> messages.Request:
+        names = self._dialect
+        own = {names.deadline_ms.lower(), names.expected_endpoint.lower()}
+        headers = [h for h in call.headers if h.name.lower() not in own]
+        remaining_ms = max(1, math.floor((remaining_s - RETURN_S) * 1000))
+        headers.append(calls.Header(names.deadline_ms, str(remaining_ms)))
+        if call.expected_endpoint:
+            expected = calls.Header(names.expected_endpoint, call.expected_endpoint)
+            headers.append(expected)
+        return messages.Request(call.method, call.path, tuple(headers), call.body)
+
+    def _note_load(self, response: messages.Response) -> None:
+        load = read_load(messages.find(response.headers, self._dialect.load))
+        if load is not None:
+            self.load = load
+            self.load_at = self.pool.clock()
+
+    def _judge(self, response: messages.Response) -> RunResult:
+        names = self._dialect
+        self._note_load(response)
+        headers = response.headers
+        if response.status == 421:
+            return RunResult(reason=calls.NotRunReason.MISDIRECTED)
+        if messages.find(headers, names.not_executed) is not None:
+            return RunResult(reason=calls.NotRunReason.REJECTED)
+        signed = messages.find(headers, names.signature) is not None
+        if 200 <= response.status < 300 and not signed:
+            return RunResult(detail="the answer bore no signature")
+        if messages.find(headers, "content-encoding") is not None:
+            return RunResult(detail="the answer was encoded though nobody asked")
+        kept = tuple(
+            header
+            for header in messages.end_to_end(headers)
+            if header.name.lower() != names.load.lower()
+        )
+        return RunResult(messages.Response(response.status, kept, response.body))
--- /dev/null
+++ b/src/savoryhollow/proxy/traffic.py
@@ -0,0 +1,72 @@
+"""Counters and latency histograms of the event-loop path."""
+
+import aioprometheus
+import aioprometheus.collectors
+import aioprometheus.formats.text
+
+__all__ = ["Counts"]
+
+# Upper bounds of the buckets of latency, in s.
+LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 1.6, 2.5, 5.0]
+# Routes that have counters of their own; further ones share one.
+MAX_ROUTES = 200
+OTHER_ROUTES = "other"
+
+
+class Counts:
+    """What happened to requests, by route."""
+
+    def __init__(self) -> None:
+        self._registry = aioprometheus.collectors.Registry()
+        self._answers = self._counter("answers_total", "Requests answered.")
+        self._refusals = self._counter("refusals_total", "Requests refused, not run.")
+        self._abandoned = self._counter(
+            "abandoned_total", "Requests whose caller left first."
+        )
+        self._latency = aioprometheus.Histogram(
+            "savoryhollow_answer_seconds",
+            "Time from a request to its answer.",
+            registry=self._registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._gauges: dict[str, aioprometheus.Gauge] = {}
+        self._routes: set[str] = set()
+
+    def end(self, route: str, status: int, took_s: float) -> None:
+        """Count an answer."""
+        name = self._known(route)
+        self._answers.inc({"route": name, "status": str(status)})
+        self._latency.observe({"route": name}, took_s)
+
+    def refuse(self, route: str, reason: str) -> None:
+        """Count a refusal."""
+        self._refusals.inc({"route": self._known(route), "reason": reason})
+
+    def abandon(self, route: str) -> None:
+        """Count a request whose caller left."""
+        self._abandoned.inc({"route": self._known(route)})
+
+    def set_gauge(self, name: str, text: str, value: float) -> None:
+        """Set a figure that is read when it is asked for."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = aioprometheus.Gauge(
+                f"savoryhollow_{name}", text, registry=self._registry
+            )
+            self._gauges[name] = gauge
+        gauge.set({}, value)
+
+    def render(self) -> bytes:
+        """Return the page that a scrape gets."""
+        return aioprometheus.formats.text.TextFormatter().marshall(self._registry)
+
+    def _counter(self, name: str, text: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(
+            f"savoryhollow_{name}", text, registry=self._registry
+        )
+
+    def _known(self, route: str) -> str:
+        if route not in self._routes and len(self._routes) >= MAX_ROUTES:
+            return OTHER_ROUTES
+        self._routes.add(route)
+        return route
--- a/src/savoryhollow/wire/codec.py
+++ b/src/savoryhollow/wire/codec.py
@@ -28,6 +28,7 @@
     messages.CompareMessage: 9,
     messages.RelayMessage: 10,
     messages.GoAwayMessage: 11,
+    messages.ReportMessage: 12,
 }
 CLASSES_BY_KIND = {kind: cls for cls, kind in KINDS_BY_CLASS.items()}
 
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -26,6 +26,7 @@
     "NotRunMessage",
     "PROTOCOL_VERSION",
     "RelayMessage",
+    "ReportMessage",
     "ResolutionMessage",
     "ResolutionState",
     "ResolveMessage",
@@ -37,7 +38,7 @@
 Count = Annotated[int, msgspec.Meta(ge=0)]
 
 # Raised whenever a message changes in a way that an older peer can't read.
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +48,8 @@
     :param service_us: smoothed time that a request holds a slot.
     :param queued_by_order: requests that wait at each order of rank or before
         it, the most urgent order first.
+    :param pace_percent: how long work takes on the instance at this moment; 100
+        is usual.
     """
 
     busy: Count
@@ -55,6 +58,7 @@
     service_us: Count
     leaving: bool
     queued_by_order: tuple[Count, ...] = ()
+    pace_percent: Count = 100
 
     def queued_before(self, position: int) -> int:
         """Return the requests that a new one would find before it.
@@ -72,17 +76,25 @@
 
     :param connection: numbers the connections that this incarnation opened; 0
         from the end that accepts.
+    :param wants_reports: whether the end that accepts is to send its load
+        unasked.
     """
 
     version: int
     endpoint_id: str
     incarnation: str
     connection: int = 0
+    wants_reports: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallMessage:
-    """Asks the gate to run a request."""
+    """Asks the gate to run a request.
+
+    :param order: the place of its rank among all work, 0 the most urgent.
+    :param objective_us: time within which its answer is of full use.
+    :param expected_endpoint: the endpoint that is to run it; empty for any.
+    """
 
     request_id: str
     service: str
@@ -96,6 +108,9 @@
     path: str
     headers: tuple[calls.Header, ...]
     body: bytes
+    order: int = 0
+    objective_us: int = 0
+    expected_endpoint: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,6 +143,13 @@
     load: LoadReport
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportMessage:
+    """The load of a gate, sent unasked."""
+
+    load: LoadReport
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelMessage:
     """The caller no longer waits for the request."""
@@ -249,4 +271,5 @@
     | CompareMessage
     | RelayMessage
     | GoAwayMessage
+    | ReportMessage
 )
