Stop before late requests can be lost, and read instead of watch while the store is away

Ruled out: a longer limit of the stop, as the platform kills at its end.

Change: callers are turned away 2.5 s after the order to stop, the gate 0.5 s after it; the process exits without waiting for silent links; a read with a limit that grows takes the place of the watch until the store answers.

--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -62,6 +62,7 @@
         self.handle = handle
         self.limits = Limits()
         self.closing = False
+        self.closed = False
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -82,7 +83,9 @@
         self.closing = True
 
     def close(self) -> None:
-        """Accept no more connections and end those that are idle."""
+        """Accept nothing more and end what is idle; answers owed still leave."""
+        self.closing = True
+        self.closed = True
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.connections):
@@ -196,7 +199,8 @@
     def on_message_complete(self) -> None:
         """Serve the request that is now whole."""
         self._reading = False
-        if self._ended:
+        if self._ended or self._server.closed:
+            # Not read, as far as the caller is concerned: it sends it again.
             return
         request = messages.Request(
             method=self._parser.get_method().decode("latin-1"),
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import logging
 import os
 import pathlib
 import signal
@@ -103,7 +104,7 @@
         )
 
 
-async def _serve(path: pathlib.Path, settings: boot.BootSettings) -> bool:
+async def _serve(settings: boot.BootSettings) -> bool:
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -117,6 +118,7 @@
     # What is alive now lives as long as the process; keep the collector off it.
     gc.freeze()
     await told.wait()
+    # Endpoints may leave while requests are still finished here.
     drained = await agent.stop()
     following.cancel()
     return drained
@@ -131,4 +133,8 @@
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
     settings = boot.read(path)
     events.configure(settings.agent.instance)
-    return 0 if asyncio.run(_serve(path, settings)) else 1
+    with asyncio.Runner() as runner:
+        drained = runner.run(_serve(settings))
+        logging.shutdown()
+        # Links to peers that don't answer would hold up an ordinary exit.
+        os._exit(0 if drained else 1)
--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -15,11 +15,13 @@
 
 # Time for which a watch waits for a change, in ms.
 WATCH_MS = 3000
-# Time that the store has for an answer, beyond the wait that was asked for, in s.
-ANSWER_LIMIT_S = 1.0
+# Time that the store has for an answer, beyond the wait that was asked for, in s;
+# longer with each call that fails, for a store that is slow.
+FIRST_ANSWER_LIMIT_S = 1.0
+MAX_ANSWER_LIMIT_S = 3.0
 # Shortest and longest pause after a call that failed, in s.
 MIN_PAUSE_S = 0.05
-MAX_PAUSE_S = 1.0
+MAX_PAUSE_S = 0.5
 # The history that a watch wants is no longer there.
 GONE = 410
 
@@ -46,6 +48,7 @@
         self._on_change = on_change
         self._on_contact = on_contact
         self._in_contact: bool | None = None
+        self._answer_limit_s = FIRST_ANSWER_LIMIT_S
         self.calls = 0
 
     async def run(self) -> None:
@@ -54,10 +57,12 @@
         revision: int | None = None
         while True:
             try:
-                if revision is None:
+                if revision is None or not self._in_contact:
+                    # A read tells sooner than a watch whether the store is back.
                     revision = await self._read_all()
                 revision = await self._watch(revision)
                 pause_s = MIN_PAUSE_S
+                self._answer_limit_s = FIRST_ANSWER_LIMIT_S
             except errors.SavoryhollowError as error:
                 self._note_contact(False, str(error))
                 await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
@@ -100,10 +105,11 @@
         data = messages.render_request(messages.Request("GET", target, headers, b""))
         self.calls += 1
         try:
-            async with asyncio.timeout(wait_s + ANSWER_LIMIT_S):
+            async with asyncio.timeout(wait_s + self._answer_limit_s):
                 connection, _ = await self._pool.acquire()
                 response = await connection.exchange(data)
         except TimeoutError as error:
+            self._answer_limit_s = min(MAX_ANSWER_LIMIT_S, 1.5 * self._answer_limit_s)
             text = f"the store gave no answer to {call} in time; see to the platform"
             raise errors.StoreError(text) from error
         self._pool.release(connection)
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -28,8 +28,11 @@
 MESSAGE_MARGIN_BYTES = 1 << 20
 # Largest body while no configuration sets a limit, in bytes.
 FIRST_BODY_BYTES = 16 << 20
-# Time for which callers may still come after a stop was ordered, in s.
-LATE_CALLERS_S = 2.2
+# Time for which callers may still come after a stop was ordered, in s. It has to
+# be over before the platform holds a late request's loss against the daemon.
+LATE_CALLERS_S = 2.5
+# Time for which the gate still takes requests in after a stop was ordered, in s.
+LATE_WORK_S = 0.5
 # Time kept of the limit of a stop for its end, in s.
 STOP_MARGIN_S = 0.4
 INCARNATION_BYTES = 8
@@ -159,21 +162,25 @@
         limit = started + self.settings.stop_limit_s - STOP_MARGIN_S
         self._stopping = True
         self._callers.finish()
+        await asyncio.sleep(LATE_WORK_S)
         self.gate.leave()
         self._inner.publish(self.gate.report())
-        while self._clock() < limit:
-            await asyncio.sleep(UPKEEP_INTERVAL_S)
-            late = self._clock() < started + LATE_CALLERS_S
-            if not late and not self._callers.in_progress and not self.gate.in_progress:
-                break
-        drained = not self._callers.in_progress and not self.gate.in_progress
+        await asyncio.sleep(LATE_CALLERS_S - LATE_WORK_S)
+        # What comes from now on could outlive the process.
         self._callers.close()
+        while self._clock() < limit and self._is_working:
+            await asyncio.sleep(UPKEEP_INTERVAL_S)
+        drained = not self._is_working
         self._inner.close()
         for task in self._tasks:
             task.cancel()
         events.emit(events.Event.DAEMON_STOPPED, drained=drained)
         return drained
 
+    @property
+    def _is_working(self) -> bool:
+        return self._callers.in_progress > 0 or self.gate.in_progress > 0
+
     # -----------------------------------------------------------------------
     #   What is known
     # -----------------------------------------------------------------------
