Start no work in a slow spell, and place by the pace of this moment

Cause: a run keeps the pace of its start.

Ruled out: queueing for calls made by requests that run (their wait is short).

Change: the gate asks for the pace while it works, lets requests wait for the end of a slow spell, refuses at once those that may be placed elsewhere, and tells the region when the pace changes. Three endpoints are compared, not two.

--- a/src/savoryhollow/admission/objectives.py
+++ b/src/savoryhollow/admission/objectives.py
@@ -21,6 +21,13 @@
 FIRST_SHARE = 0.3
 # Part of the work time that has to fit before the deadline for a request to start.
 START_SHARE = 0.8
+# Pace from which work counts as slow; 1 is usual.
+SLOW_PACE = 1.5
+# Time that a start at a slow pace has to cost for a request to wait instead, in s:
+# about what is left of a slow spell when it is met.
+HOLD_COST_S = 0.12
+# Time after which a slow spell is held to last, so that nothing waits for its end, in s.
+LASTING_S = 0.7
 # Times the slots that may wait before the least urgent is turned away.
 MAX_WAITING_PER_SLOT = 8
 
@@ -76,6 +83,8 @@
         self.extra = extra
         self.busy = 0
         self.waiting: list[Waiting] = []
+        self.pace = 1.0
+        self._slow_since: float | None = None
         self._work_by_kind: dict[str, estimates.ServiceTime] = {}
         self._overall = estimates.ServiceTime()
 
@@ -116,15 +125,15 @@
 
     def take(self, now: float) -> Waiting | None:
         """Give a free slot to the request that comes next, if there is one."""
-        if not self.waiting:
-            return None
         room = self.slots - self.busy
-        first = min(self.waiting, key=lambda one: one.urgency(now))
+        if room + self.extra <= 0:
+            return None
+        ready = [one for one in self.waiting if not self.holds(one, now)]
         if room <= 0:
-            called = [one for one in self.waiting if one.called]
-            if room + self.extra <= 0 or not called:
-                return None
-            first = min(called, key=lambda one: one.urgency(now))
+            ready = [one for one in ready if one.called]
+        if not ready:
+            return None
+        first = min(ready, key=lambda one: one.urgency(now))
         self.waiting.remove(first)
         self.busy += 1
         return first
@@ -162,6 +171,28 @@
         self.slots = slots
         self.extra = extra
 
+    # -----------------------------------------------------------------------
+    #   Pace
+    # -----------------------------------------------------------------------
+
+    def note_pace(self, pace: float, now: float) -> None:
+        """Take in how long work takes at this moment; 1 is usual."""
+        self.pace = pace
+        if pace < SLOW_PACE:
+            self._slow_since = None
+        elif self._slow_since is None:
+            self._slow_since = now
+
+    def holds(self, entry: Waiting, now: float) -> bool:
+        """Say whether a request had better wait for a slow spell to end.
+
+        Work keeps the pace at which it starts, so a start in a slow spell costs
+        more than the wait for its end, and takes a slot for longer.
+        """
+        if self._slow_since is None or now - self._slow_since > LASTING_S:
+            return False
+        return (self.pace - 1) * entry.work_s > HOLD_COST_S
+
     # -----------------------------------------------------------------------
     #   Estimates
     # -----------------------------------------------------------------------
--- a/src/savoryhollow/calls.py
+++ b/src/savoryhollow/calls.py
@@ -103,7 +103,8 @@
     # The backend server was reached and said that it did not run the request.
     REJECTED = "rejected"
     MISDIRECTED = "misdirected"
-    NO_CONFIGURATION = "no-configuration"
+    # Work takes long on the instance at this moment, and others may be quicker.
+    SLOW = "slow"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -49,6 +49,7 @@
     RUN_REFUSED = 4006
     RUN_UNKNOWN = 4007
     ENDPOINT_DISTRUSTED = 4008
+    RUN_ENDED = 4009
     LIBRARY_MESSAGE = 9001
     THREAD_FAILED = 9002
 
@@ -89,6 +90,7 @@
         Event.ATTEMPT_ENDED,
         Event.RUN_REFUSED,
         Event.RUN_UNKNOWN,
+        Event.RUN_ENDED,
     )
 )
 REQUESTS_PER_WINDOW = 2000
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -20,8 +20,14 @@
 
 __all__ = ["Agent", "AgentSettings"]
 
+# Change of the pace that other daemons are told at once; 1 is the usual pace.
+PACE_STEP = 0.3
 # How often the gate's load is sent to the daemons of the region, in s.
 REPORT_INTERVAL_S = 0.1
+# Age at which what the backend server said of its load is asked for again, in s.
+PROBE_AGE_S = 0.04
+# Time after the last request for which its load is still asked for, in s.
+PROBE_LINGER_S = 1.0
 # How often lists and timers are looked after, in s.
 UPKEEP_INTERVAL_S = 0.1
 # Room in a message beside the largest body, in bytes.
@@ -95,6 +101,7 @@
         self._inner = inner.InnerPort(
             self.gate, FIRST_BODY_BYTES + MESSAGE_MARGIN_BYTES, lambda _: None
         )
+        self.runner.on_load = self._note_load
         self._tasks: list[asyncio.Task[None]] = []
 
     def _build_router(self) -> router.Router:
@@ -141,6 +148,7 @@
         await self._callers.start(settings.front.host, settings.front.port)
         self._tasks.append(asyncio.create_task(self._publish()))
         self._tasks.append(asyncio.create_task(self._keep_up()))
+        self._tasks.append(asyncio.create_task(self._probe()))
         events.emit(
             events.Event.DAEMON_STARTED,
             service=settings.service,
@@ -232,6 +240,32 @@
         else:
             self.gate.stay()
 
+    async def _probe(self) -> None:
+        """Keep what is known of the backend server's pace fresh while it works."""
+        while True:
+            now = self._clock()
+            due = self.runner.load_at + PROBE_AGE_S
+            idle = now - self.gate.asked_at > PROBE_LINGER_S
+            if idle or due > now:
+                await asyncio.sleep(max(PROBE_AGE_S / 4, 0 if idle else due - now))
+                continue
+            load = await self.runner.probe(self._health_path)
+            if load is None:
+                await asyncio.sleep(PROBE_AGE_S)
+
+    @property
+    def _health_path(self) -> str:
+        found = self.front.table
+        paths = {} if found is None else found.health_paths_by_service
+        return paths.get(self.settings.service, "/health")
+
+    def _note_load(self) -> None:
+        before = self.gate.queue.pace
+        self.gate.note_pace()
+        if abs(self.gate.queue.pace - before) > PACE_STEP:
+            # Other daemons place by it, and it lasts a moment only.
+            self._inner.publish(self.gate.report())
+
     async def _publish(self) -> None:
         last: messages.LoadReport | None = None
         while True:
--- a/src/savoryhollow/proxy/gate.py
+++ b/src/savoryhollow/proxy/gate.py
@@ -54,6 +54,7 @@
         self.queue = objectives.ObjectiveQueue(slots, DEFAULT_SLOTS - slots)
         self.leaving = False
         self.in_progress = 0
+        self.asked_at = float("-inf")
         self._futures: dict[objectives.Waiting, asyncio.Future[None]] = {}
 
     # -----------------------------------------------------------------------
@@ -84,21 +85,27 @@
             objective=now + call.objective_us / 1e6,
             deadline=deadline,
         )
+        self.asked_at = now
         if self.leaving:
             return self._refuse(call, entry, calls.NotRunReason.LEAVING)
+        if not call.patient and self._would_hold(entry, now):
+            return self._refuse(call, entry, calls.NotRunReason.SLOW)
         await self._acquire(entry, now)
         if entry.refusal is not None:
             return self._refuse(call, entry, REASONS_BY_REFUSAL[entry.refusal])
         started = self._clock()
         held_s: float | None = None
+        pace_percent = self.pace_percent
         try:
             if self.leaving:
                 return self._refuse(call, entry, calls.NotRunReason.LEAVING)
             result = await self._runner.run(call, deadline)
             if result.response is not None:
                 held_s = self._clock() - started
+                self._log_run(call, result, started - now, held_s, pace_percent)
         finally:
-            self.queue.release(entry.kind, held_s)
+            usual_s = held_s and held_s / max(1.0, pace_percent / 100)
+            self.queue.release(entry.kind, usual_s)
             self._grant()
         return self._answer(call, entry, result)
 
@@ -124,6 +131,20 @@
             self.report(),
         )
 
+    def _log_run(self, call, result, waited_s, held_s, pace_percent) -> None:
+        events.emit(
+            events.Event.RUN_ENDED,
+            request_id=call.request_id,
+            endpoint_id=call.expected_endpoint,
+            status=result.response.status,
+            waited_ms=round(1000 * waited_s),
+            ran_ms=round(1000 * held_s),
+            pace_percent=pace_percent,
+            busy=self.queue.busy,
+            slots=self.queue.slots,
+            waiting=len(self.queue.waiting),
+        )
+
     def _refuse(self, call, entry, reason: calls.NotRunReason) -> Answer:
         retry_after_ms = self.retry_after_ms(entry)
         events.emit(
@@ -181,6 +202,15 @@
         while (entry := self.queue.take(now)) is not None:
             self._settle([entry])
 
+    def _would_hold(self, entry: objectives.Waiting, now: float) -> bool:
+        entry.work_s = self.queue.work_s(entry.kind, entry.objective - now)
+        return self.queue.holds(entry, now)
+
+    def note_pace(self) -> None:
+        """Take in what the backend server has said of its pace."""
+        self.queue.note_pace(self.pace_percent / 100, self._clock())
+        self._grant()
+
     def resize(self, slots: int) -> None:
         """Take in how many requests the backend server runs at one time."""
         usable = usable_slots(slots)
--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -47,6 +47,8 @@
     :param sent: attempts that may have reached a backend server.
     :param maybe_run: the first attempt that may have run.
     :param failure: the failure that a backend server answered.
+    :param bounced: endpoints that were slow at the moment.
+    :param patient: whether it waits at an endpoint that is slow at the moment.
     """
 
     sent: int = 0
@@ -54,6 +56,8 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     maybe_run: calls.Outcome | None = None
     failure: calls.Served | None = None
+    bounced: set[str] = dataclasses.field(default_factory=set)
+    patient: bool = False
     last: calls.Outcome | None = None
     retry_after_ms: int = NO_ENDPOINT_RETRY_MS
 
@@ -162,8 +166,7 @@
                 return self._give_up(call, progress)
             if progress.sent and not self._may_repeat(progress, max_attempts, budget):
                 return self._give_up(call, progress)
-            candidates = self._candidates(call, progress.tried)
-            placed = self._policy.choose(candidates, now)
+            placed = self._place(call, progress, now)
             if placed is None:
                 return self._give_up(call, progress)
             if progress.sent and not budget.take(now, self._daemons):
@@ -173,6 +176,16 @@
                 return outcome
             progress.last = outcome
 
+    def _place(self, call, progress: _Progress, now: float) -> nearby.Placed | None:
+        candidates = self._candidates(call, progress.tried | progress.bounced)
+        near_left = any(self._policy.is_near(c) for c in candidates)
+        if progress.bounced and not near_left:
+            # Slow spells are short: waiting nearby costs less than going far.
+            progress.patient = True
+            progress.bounced.clear()
+            candidates = self._candidates(call, progress.tried)
+        return self._policy.choose(candidates, now)
+
     @property
     def _daemons(self) -> int:
         return len(self.links_by_host) + 1
@@ -219,16 +232,19 @@
     ) -> calls.Outcome:
         endpoint = placed.candidate.endpoint
         evidence = placed.candidate.evidence
-        progress.tried.add(endpoint.endpoint_id)
-        progress.asked += 1
         started = self._clock()
-        message = self._message(call, endpoint, started)
+        message = self._message(call, endpoint, started, progress.patient)
         evidence.begin()
         try:
             answer = await self._send(endpoint, message, call.deadline)
         finally:
             evidence.end()
         outcome = self._judge(call, endpoint, answer, progress)
+        if getattr(outcome, "reason", None) is calls.NotRunReason.SLOW:
+            progress.bounced.add(endpoint.endpoint_id)
+        else:
+            progress.tried.add(endpoint.endpoint_id)
+            progress.asked += 1
         self._learn(evidence, answer, outcome, started)
         events.emit(
             events.Event.ATTEMPT_ENDED,
@@ -259,7 +275,9 @@
         except errors.WireError as error:
             return error
 
-    def _message(self, call, endpoint, now: float) -> messages.CallMessage:
+    def _message(
+        self, call, endpoint, now: float, patient: bool
+    ) -> messages.CallMessage:
         return messages.CallMessage(
             request_id=f"{call.request_id}.{next(self._numbers)}",
             service=call.service,
@@ -276,6 +294,7 @@
             order=call.order,
             objective_us=int(1e6 * (call.objective - now)),
             expected_endpoint=endpoint.endpoint_id,
+            patient=patient,
         )
 
     def _judge(self, call, endpoint, answer, progress) -> calls.Outcome:
--- a/src/savoryhollow/proxy/running.py
+++ b/src/savoryhollow/proxy/running.py
@@ -1,6 +1,7 @@
 """Run a request at the backend server of this instance, and judge its answer."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import math
 
@@ -71,6 +72,7 @@
         self.pool = pool
         self.load: BackendLoad | None = None
         self.load_at = float("-inf")
+        self.on_load: collections.abc.Callable[[], None] = lambda: None
 
     async def run(self, call: wire.CallMessage, deadline: float) -> RunResult:
         """Run a request, at most once.
@@ -135,6 +137,7 @@
         if load is not None:
             self.load = load
             self.load_at = self.pool.clock()
+            self.on_load()
 
     def _judge(self, response: messages.Response) -> RunResult:
         names = self._dialect
--- a/src/savoryhollow/routing/nearby.py
+++ b/src/savoryhollow/routing/nearby.py
@@ -15,6 +15,8 @@
 
 __all__ = ["NearbyPolicy", "Placed", "expected_cost_s"]
 
+# Endpoints that are compared for one request.
+SAMPLE_SIZE = 3
 # Time that another zone of the region is held to cost, for its delay and price, in s.
 ZONE_COST_S = 0.06
 # Work time assumed where no report has come, in s.
@@ -81,6 +83,10 @@
         self._vantage = vantage
         self._rng = rng
 
+    def is_near(self, candidate: placement.Candidate) -> bool:
+        """Say whether an endpoint stands in the region of this process."""
+        return candidate.endpoint.region == self._vantage.region
+
     def choose(
         self, candidates: list[placement.Candidate], now: float
     ) -> Placed | None:
@@ -89,12 +95,12 @@
         :param candidates: the endpoints that it may be sent to.
         :param now: the present instant.
         """
-        near = [c for c in candidates if c.endpoint.region == self._vantage.region]
+        near = [c for c in candidates if self.is_near(c)]
         pool = [c for c in near if _is_open(c, now)]
         pool = pool or [c for c in candidates if _is_open(c, now)] or near or candidates
         if not pool:
             return None
-        sample = self._rng.sample(pool, min(2, len(pool)))
+        sample = self._rng.sample(pool, min(SAMPLE_SIZE, len(pool)))
         costs = [expected_cost_s(c, self._vantage, now) for c in sample]
         cost_s = min(costs)
         best = sample[costs.index(cost_s)]
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -94,6 +94,8 @@
     :param order: the place of its rank among all work, 0 the most urgent.
     :param objective_us: time within which its answer is of full use.
     :param expected_endpoint: the endpoint that is to run it; empty for any.
+    :param patient: whether it waits at a gate where work takes long at the moment;
+        else it is refused there at once.
     """
 
     request_id: str
@@ -111,6 +113,7 @@
     order: int = 0
     objective_us: int = 0
     expected_endpoint: str = ""
+    patient: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
