--- a/src/savoryhollow/admission/objectives.py
+++ b/src/savoryhollow/admission/objectives.py
@@ -21,12 +21,17 @@
 FIRST_SHARE = 0.3
 # Part of the work time that has to fit before the deadline for a request to start.
 START_SHARE = 0.8
-# Pace from which work counts as slow; 1 is usual.
-SLOW_PACE = 1.5
+# Times the quickest pace of late from which work counts as slow.
+SLOW_RATIO = 1.5
+# Time over which the quickest pace is looked for, in s.
+PACE_WINDOW_S = 1.5
+# Quickest pace that is believed of a backend server at first; 1 is usual, and one
+# that has just started takes longer.
+FIRST_PACE = 2.0
 # Time that a start at a slow pace has to cost for a request to wait instead, in s:
 # about what is left of a slow spell when it is met.
 HOLD_COST_S = 0.12
-# Time after which a slow spell is held to last, so that nothing waits for its end, in s.
+# Time after which a slow spell counts as lasting, so that nothing waits for it, in s.
 LASTING_S = 0.7
 # Times the slots that may wait before the least urgent is turned away.
 MAX_WAITING_PER_SLOT = 8
@@ -85,6 +90,7 @@
         self.waiting: list[Waiting] = []
         self.pace = 1.0
         self._slow_since: float | None = None
+        self._paces: collections.deque[tuple[float, float]] = collections.deque()
         self._work_by_kind: dict[str, estimates.ServiceTime] = {}
         self._overall = estimates.ServiceTime()
 
@@ -178,11 +184,19 @@
     def note_pace(self, pace: float, now: float) -> None:
         """Take in how long work takes at this moment; 1 is usual."""
         self.pace = pace
-        if pace < SLOW_PACE:
+        self._paces.append((now, pace))
+        while self._paces[0][0] < now - PACE_WINDOW_S:
+            self._paces.popleft()
+        if pace < SLOW_RATIO * self.usual_pace:
             self._slow_since = None
         elif self._slow_since is None:
             self._slow_since = now
 
+    @property
+    def usual_pace(self) -> float:
+        """The quickest pace of late; 1 is usual."""
+        return min([FIRST_PACE, *(pace for _, pace in self._paces)])
+
     def holds(self, entry: Waiting, now: float) -> bool:
         """Say whether a request had better wait for a slow spell to end.
 
@@ -191,7 +205,7 @@
         """
         if self._slow_since is None or now - self._slow_since > LASTING_S:
             return False
-        return (self.pace - 1) * entry.work_s > HOLD_COST_S
+        return (self.pace - self.usual_pace) * entry.work_s > HOLD_COST_S
 
     # -----------------------------------------------------------------------
     #   Estimates
@@ -204,7 +218,7 @@
         if self.slots <= 0:
             return math.inf
         own = entry.urgency(now)
-        ahead_s = sum(one.work_s for one in self.waiting if one.urgency(now) < own)
+        ahead_s = sum(one.work_s for one in self.waiting if one.urgency(now) <= own)
         held = max(0, self.busy - self.slots + 1)
         first_s = held * self.service_s / self.slots
         return first_s + ahead_s / self.slots
--- a/src/savoryhollow/membership/directory.py
+++ b/src/savoryhollow/membership/directory.py
@@ -23,9 +23,11 @@
 
     :param slots: requests that it runs at one time; 0 if unknown.
     :param cold_until: the instant until which it is slow after its start.
+    :param revision: rises with each change of the list.
     """
 
     slots: int = 0
+    revision: int = 0
     cold_until: float = float("-inf")
 
 
@@ -44,7 +46,17 @@
     # -----------------------------------------------------------------------
 
     def put(self, endpoint: KnownEndpoint) -> bool:
-        """Take in an entry; return whether it says anything new."""
+        """Take in an entry; return whether it says anything new.
+
+        An instance has one backend server, so a newer entry of the same host
+        takes the place of those before it.
+        """
+        for other in self._of_host(endpoint.host):
+            if other.endpoint_id == endpoint.endpoint_id:
+                continue
+            if other.revision > endpoint.revision:
+                return False
+            self._drop(other.endpoint_id)
         self._removals_by_id.pop(endpoint.endpoint_id, None)
         if self.endpoints_by_id.get(endpoint.endpoint_id) == endpoint:
             return False
@@ -52,6 +64,9 @@
         self.generation += 1
         return True
 
+    def _of_host(self, host: str) -> list[KnownEndpoint]:
+        return [one for one in self.endpoints_by_id.values() if one.host == host]
+
     def remove(self, endpoint_id: str, now: float) -> None:
         """Take an entry out, at once or when renewals have had their time."""
         if endpoint_id not in self.endpoints_by_id:
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -202,13 +202,17 @@
 
 
 def configure(
-    instance: str, level: str = "info", placement_level: str = "debug"
+    instance: str,
+    level: str = "info",
+    placement_level: str = "debug",
+    stream: typing.TextIO | None = None,
 ) -> None:
-    """Set how this process logs; lines go to standard error.
+    """Set how this process logs.
 
     :param instance: the endpoint id that every line carries.
     :param level: the lowest level that is logged.
     :param placement_level: the level of each placement's event.
+    :param stream: where lines go; standard error where None.
     """
     _context.instance = instance
     _context.placement_level = LEVELS_BY_NAME[placement_level]
@@ -218,6 +222,8 @@
     absl.logging.use_absl_handler()
     handler = absl.logging.get_absl_handler()
     handler.setFormatter(JsonFormatter())
+    if stream is not None:
+        handler.python_handler.stream = stream
     for old in handler.filters[:]:
         handler.removeFilter(old)
     handler.addFilter(LibraryFilter())
--- a/src/savoryhollow/platform/documents.py
+++ b/src/savoryhollow/platform/documents.py
@@ -145,6 +145,7 @@
         state=STATES_BY_WORD[entry.state],
         slots=max(0, entry.slots),
         cold_until=now + entry.cold_s if entry.cold_s > 0 else float("-inf"),
+        revision=change.revision,
     )
 
 
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -9,7 +9,7 @@
 
 from savoryhollow import errors
 from savoryhollow.membership import directory
-from savoryhollow.observe import events
+from savoryhollow.observe import events, output
 from savoryhollow.platform import boot, documents, headers, store
 from savoryhollow.proxy import agent as agent_module
 
@@ -132,7 +132,7 @@
     """
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
     settings = boot.read(path)
-    events.configure(settings.agent.instance)
+    events.configure(settings.agent.instance, stream=output.LossyStream(1))
     with asyncio.Runner() as runner:
         drained = runner.run(_serve(settings))
         logging.shutdown()
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -58,6 +58,8 @@
     :param backend: the backend server beside it.
     :param retry_rules: the budget of repeats.
     :param stop_limit_s: time from the order to stop until the process is killed.
+    :param address_kept_s: time for which the address of a backend server that has
+        ended goes to no other.
     """
 
     instance: str
@@ -71,6 +73,7 @@
     backend: models.Target
     retry_rules: router.RetryRules
     stop_limit_s: float
+    address_kept_s: float
 
 
 class Agent:
@@ -87,10 +90,12 @@
         self.members = directory.Directory()
         self.counts = traffic.Counts()
         self._stopping = False
+        self._started_at = self._clock()
+        self._first_endpoint_id: str | None = None
         self._seen_generation = -1
         pool = backends.Pool(settings.backend.host, settings.backend.port)
         self.runner = running.BackendRunner(dialect, pool)
-        self.gate = gate_module.Gate(self.runner, self._clock)
+        self.gate = gate_module.Gate(self.runner, self._clock, self.identify)
         self.router = self._build_router()
         self.front = front.Front(
             dialect, settings.service, self.router.route, self.counts, self._clock
@@ -149,6 +154,7 @@
         self._tasks.append(asyncio.create_task(self._publish()))
         self._tasks.append(asyncio.create_task(self._keep_up()))
         self._tasks.append(asyncio.create_task(self._probe()))
+        self._tasks.append(asyncio.create_task(self._meet_backend()))
         events.emit(
             events.Event.DAEMON_STARTED,
             service=settings.service,
@@ -219,6 +225,32 @@
                 return endpoint
         return None
 
+    def identify(self, service: str) -> str | None:
+        """Return the endpoint that runs the requests of a service here.
+
+        Either the list names the one that answers here, or it answered right after
+        this process started: the settings were written for it then, and its
+        address can't have gone to another service in so short a time.
+
+        :returns: None where that isn't certain.
+        """
+        answering = self.runner.endpoint_id
+        if answering is None or service != self.settings.service:
+            return None
+        listed = self.own_endpoint()
+        if listed is not None and listed.endpoint_id == answering:
+            return answering
+        return answering if answering == self._first_endpoint_id else None
+
+    async def _meet_backend(self) -> None:
+        """Learn which endpoint answers here when this process starts."""
+        while self._clock() < self._started_at + self.settings.address_kept_s:
+            await self.runner.probe(self._health_path)
+            if self.runner.endpoint_id is not None:
+                self._first_endpoint_id = self.runner.endpoint_id
+                return
+            await asyncio.sleep(UPKEEP_INTERVAL_S)
+
     async def _keep_up(self) -> None:
         while True:
             for endpoint_id in self.members.settle(self._clock()):
--- a/src/savoryhollow/proxy/gate.py
+++ b/src/savoryhollow/proxy/gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import math
 
 from savoryhollow import calls
@@ -41,15 +42,19 @@
 
     :param runner: sends one request to the backend server.
     :param clock: returns the present instant.
+    :param identify: returns the endpoint that a service's requests run on here,
+        where that is certain.
     """
 
     def __init__(
         self,
         runner: running.BackendRunner,
         clock: collections.abc.Callable[[], float],
+        identify: collections.abc.Callable[[str], str | None],
     ):
         self._runner = runner
         self._clock = clock
+        self._identify = identify
         slots = usable_slots(DEFAULT_SLOTS)
         self.queue = objectives.ObjectiveQueue(slots, DEFAULT_SLOTS - slots)
         self.leaving = False
@@ -99,6 +104,9 @@
         try:
             if self.leaving:
                 return self._refuse(call, entry, calls.NotRunReason.LEAVING)
+            # The list lags: a router may know the endpoint by an earlier id.
+            endpoint_id = self._identify(call.service) or call.expected_endpoint
+            call = dataclasses.replace(call, expected_endpoint=endpoint_id)
             result = await self._runner.run(call, deadline)
             if result.response is not None:
                 held_s = self._clock() - started
--- a/src/savoryhollow/proxy/running.py
+++ b/src/savoryhollow/proxy/running.py
@@ -17,8 +17,6 @@
 # Time kept for the way back to the caller, in s.
 RETURN_S = 0.005
 
-NOT_RUN_STATUSES = frozenset((421,))
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendLoad:
@@ -72,6 +70,7 @@
         self.pool = pool
         self.load: BackendLoad | None = None
         self.load_at = float("-inf")
+        self.endpoint_id: str | None = None
         self.on_load: collections.abc.Callable[[], None] = lambda: None
 
     async def run(self, call: wire.CallMessage, deadline: float) -> RunResult:
@@ -118,6 +117,8 @@
         except (errors.BackendError, TimeoutError):
             return None
         self.pool.release(connection)
+        named = messages.find(response.headers, self._dialect.endpoint_id)
+        self.endpoint_id = named or self.endpoint_id
         self._note_load(response)
         return self.load
 
@@ -144,6 +145,7 @@
         self._note_load(response)
         headers = response.headers
         if response.status == 421:
+            self.endpoint_id = messages.find(headers, names.endpoint_id)
             return RunResult(reason=calls.NotRunReason.MISDIRECTED)
         if messages.find(headers, names.not_executed) is not None:
             return RunResult(reason=calls.NotRunReason.REJECTED)
--- a/src/savoryhollow/routing/nearby.py
+++ b/src/savoryhollow/routing/nearby.py
@@ -11,6 +11,7 @@
 import dataclasses
 import random
 
+from savoryhollow.membership import directory
 from savoryhollow.routing import placement
 
 __all__ = ["NearbyPolicy", "Placed", "expected_cost_s"]
@@ -67,7 +68,8 @@
     ahead = evidence.in_flight + weight * evidence.load_of_others()
     waiting = max(0.0, ahead + 1 - slots) / slots
     crowding = CROWDING * min(1.0, ahead / slots)
-    coldness = COLDNESS if endpoint.cold_until > now else 0.0
+    cold = isinstance(endpoint, directory.KnownEndpoint) and endpoint.cold_until > now
+    coldness = COLDNESS if cold else 0.0
     distance_s = 0.0 if endpoint.zone == vantage.zone else ZONE_COST_S
     return service_s * (pace * (1 + waiting) - 1 + crowding + coldness) + distance_s
 
--- /dev/null
+++ b/tests/test_objectives.py
@@ -0,0 +1,190 @@
+"""Who waits and who starts at a gate: order, slow spells, floods."""
+
+import collections
+import heapq
+import random
+
+from savoryhollow.admission import objectives
+
+CALLED_S = 0.15
+
+
+def entry(kind="lookup", order=1, objective=0.6, deadline=2.0, called=False):
+    return objectives.Waiting(kind, order, called, objective, deadline)
+
+
+def queue_that_knows(slots=1, extra=0, **work_by_kind):
+    queue = objectives.ObjectiveQueue(slots, extra)
+    for kind, work_s in work_by_kind.items():
+        queue.busy += 1
+        queue.release(kind, work_s)
+    return queue
+
+
+def drain(queue, now=0.0):
+    found = []
+    while (one := queue.take(now)) is not None:
+        found.append(one)
+    return found
+
+
+def test_more_urgent_ranks_come_first():
+    queue = queue_that_knows(slots=9, lookup=0.1, report=0.1)
+    report, lookup = entry("report", order=2), entry(order=0)
+    assert queue.offer(report, 0.0) == []
+    assert queue.offer(lookup, 0.0) == []
+    assert drain(queue) == [lookup, report]
+
+
+def test_what_can_still_meet_its_objective_goes_before_what_cannot():
+    queue = queue_that_knows(slots=9, lookup=0.1, report=0.1)
+    late = entry(order=0, objective=0.05)
+    report = entry("report", order=2, objective=2.0)
+    queue.offer(late, 0.0)
+    queue.offer(report, 0.0)
+    assert drain(queue) == [report, late]
+
+
+def test_a_request_that_could_not_end_in_time_is_refused_at_once():
+    queue = queue_that_knows(slots=1, lookup=0.5)
+    for _ in range(3):
+        assert queue.offer(entry(deadline=5.0), 0.0) == []
+    assert queue.take(0.0) is not None
+    hopeless = entry(deadline=0.9)
+    assert queue.offer(hopeless, 0.0) == [hopeless]
+    assert hopeless.refusal is objectives.Refusal.TOO_LATE
+
+
+def test_waiting_requests_expire_when_they_can_no_longer_end():
+    queue = queue_that_knows(slots=1, lookup=0.5)
+    queue.offer(entry(), 0.0)
+    assert queue.take(0.0) is not None
+    waiting = entry(deadline=1.0)
+    queue.offer(waiting, 0.0)
+    assert queue.expire(0.5) == []
+    assert queue.expire(0.7) == [waiting]
+
+
+def test_slots_beyond_the_knee_are_for_called_work_alone():
+    queue = queue_that_knows(slots=1, extra=1, lookup=0.1)
+    first, second, called = entry(), entry(), entry(called=True)
+    for one in (first, second, called):
+        queue.offer(one, 0.0)
+    assert drain(queue) == [called]
+    queue.release("lookup", 0.1)
+    assert drain(queue) == [first]
+
+
+# ---------------------------------------------------------------------------
+#   Slow spells: a quarter of the instances is slow for 0.3 s at a time
+# ---------------------------------------------------------------------------
+
+
+def test_long_work_waits_for_the_end_of_a_slow_spell():
+    queue = queue_that_knows(slots=9, report=0.4)
+    queue.note_pace(1.0, 0.0)
+    queue.note_pace(4.0, 0.1)
+    queue.offer(entry("report", objective=2.0, deadline=5.0), 0.1)
+    assert queue.take(0.1) is None
+    queue.note_pace(1.0, 0.3)
+    assert queue.take(0.3) is not None
+
+
+def test_short_work_does_not_wait_for_it():
+    queue = queue_that_knows(slots=9, check=0.03)
+    queue.note_pace(1.0, 0.0)
+    queue.note_pace(4.0, 0.1)
+    queue.offer(entry("check", objective=CALLED_S, deadline=0.5), 0.1)
+    assert queue.take(0.1) is not None
+
+
+def test_nothing_waits_for_a_slow_spell_that_lasts():
+    queue = queue_that_knows(slots=9, report=0.4)
+    queue.note_pace(1.0, 0.0)
+    queue.note_pace(4.0, 0.1)
+    queue.offer(entry("report", objective=2.0, deadline=5.0), 0.1)
+    lasting = 0.1 + objectives.LASTING_S + 0.01
+    queue.note_pace(4.0, lasting)
+    assert queue.take(lasting) is not None
+
+
+def test_a_cold_backend_server_is_in_no_slow_spell():
+    queue = queue_that_knows(slots=9, report=0.4)
+    queue.note_pace(2.0, 0.0)
+    queue.offer(entry("report", objective=2.0, deadline=5.0), 0.1)
+    assert queue.take(0.1) is not None
+
+
+# ---------------------------------------------------------------------------
+#   Load
+# ---------------------------------------------------------------------------
+
+
+def in_time_under_noise(hold: bool, seed: int = 7) -> float:
+    """Play 60 s of work at a gate whose pace is four times as long at times."""
+    rng = random.Random(seed)
+    queue = objectives.ObjectiveQueue(7, 0)
+    paces = [4.0 if rng.random() < 0.25 else 1.0 for _ in range(400)]
+    events = [(i * 0.3, 0, i, None) for i in range(len(paces))]
+    now = 0.0
+    while now < 60:
+        now += rng.expovariate(25)
+        events.append((now, 1, len(events), None))
+    heapq.heapify(events)
+    counts = collections.Counter()
+    pace = 1.0
+    while events:
+        now, what, number, one = heapq.heappop(events)
+        if what == 0:
+            pace = paces[number]
+            queue.note_pace(pace if hold else 1.0, now)
+        elif what == 1:
+            counts["asked"] += 1
+            queue.offer(entry("lookup", 1, now + 0.6, now + 2.0), now)
+        else:
+            queue.release("lookup", 0.16)
+            counts["in time"] += now <= one.objective
+        queue.expire(now)
+        while (one := queue.take(now)) is not None:
+            held_s = 0.16 * pace * rng.uniform(0.7, 1.3)
+            heapq.heappush(events, (now + held_s, 2, counts["asked"], one))
+            counts["started"] += 1
+    return counts["in time"] / counts["asked"]
+
+
+def test_waiting_for_slow_spells_to_end_serves_more_in_time():
+    eager, patient = in_time_under_noise(False), in_time_under_noise(True)
+    assert patient > eager + 0.1
+
+
+def test_a_flood_of_the_least_urgent_leaves_the_most_urgent_in_time():
+    """Reports arrive at twice what the gate can take; orders stay in time."""
+    rng = random.Random(11)
+    queue = queue_that_knows(slots=7, report=0.4, order=0.13)
+    events, now = [], 0.0
+    while now < 30:
+        now += rng.expovariate(39)
+        kind = "order" if rng.random() < 0.1 else "report"
+        events.append((now, len(events), kind, None))
+    heapq.heapify(events)
+    counts = collections.Counter()
+    while events:
+        now, _, kind, one = heapq.heappop(events)
+        if one is None:
+            counts[kind, "asked"] += 1
+            wait_s, order = (0.4, 0) if kind == "order" else (2.0, 2)
+            queue.offer(entry(kind, order, now + wait_s, now + 2.5 * wait_s), now)
+        else:
+            work_s = 0.4 if kind == "report" else 0.13
+            queue.release(kind, work_s)
+            counts[kind, "in time"] += now <= one.objective
+        queue.expire(now)
+        while (one := queue.take(now)) is not None:
+            work_s = 0.4 if one.kind == "report" else 0.13
+            number = sum(counts.values())
+            heapq.heappush(events, (now + work_s, number, one.kind, one))
+            counts["started"] += 1
+    orders = counts["order", "in time"] / counts["order", "asked"]
+    reports = counts["report", "in time"] / counts["report", "asked"]
+    assert orders > 0.99
+    assert reports > 0.3
