Weigh distance by the time to spare, and let urgent work cross where it would be late

Cause: reports of endpoints that don't change faded within half a second, so an instance that was slow for seconds looked well again; with one of three endpoints of a region slow and one restarting, lookups queued 600 ms there while the other region had room; a stopping daemon closed its gate 3 s before its end.

Ruled out: crossing in a slow spell (it ends sooner than the bytes pay).

Change: a report is believed for 0.6 s and repeated each 0.5 s; the gate tells a spell that will end from a pace that lasts; another zone costs a fifth of the time to spare; work of the first two ranks crosses where it would be late and gains 150 ms; the gate stays open for 1.9 s of a stop.

--- a/src/savoryhollow/admission/objectives.py
+++ b/src/savoryhollow/admission/objectives.py
@@ -197,13 +197,17 @@
         """The quickest pace of late; 1 is usual."""
         return min([FIRST_PACE, *(pace for _, pace in self._paces)])
 
+    def is_in_spell(self, now: float) -> bool:
+        """Say whether work is slow at this moment, and will soon be quicker."""
+        return self._slow_since is not None and now - self._slow_since <= LASTING_S
+
     def holds(self, entry: Waiting, now: float) -> bool:
         """Say whether a request had better wait for a slow spell to end.
 
         Work keeps the pace at which it starts, so a start in a slow spell costs
         more than the wait for its end, and takes a slot for longer.
         """
-        if self._slow_since is None or now - self._slow_since > LASTING_S:
+        if not self.is_in_spell(now):
             return False
         return (self.pace - self.usual_pace) * entry.work_s > HOLD_COST_S
 
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -24,6 +24,8 @@
 PACE_STEP = 0.3
 # How often the gate's load is sent to the daemons of the region, in s.
 REPORT_INTERVAL_S = 0.1
+# How often it is sent although it hasn't changed, in s.
+REPEAT_INTERVAL_S = 0.5
 # Age at which what the backend server said of its load is asked for again, in s.
 PROBE_AGE_S = 0.04
 # Time after the last request for which its load is still asked for, in s.
@@ -36,9 +38,9 @@
 FIRST_BODY_BYTES = 16 << 20
 # Time for which callers may still come after a stop was ordered, in s. It has to
 # be over before the platform holds a late request's loss against the daemon.
-LATE_CALLERS_S = 2.5
+LATE_CALLERS_S = 2.8
 # Time for which the gate still takes requests in after a stop was ordered, in s.
-LATE_WORK_S = 0.5
+LATE_WORK_S = 1.9
 # Time kept of the limit of a stop for its end, in s.
 STOP_MARGIN_S = 0.4
 INCARNATION_BYTES = 8
@@ -300,12 +302,15 @@
 
     async def _publish(self) -> None:
         last: messages.LoadReport | None = None
+        due = self._clock()
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
             report = self.gate.report()
-            if report != last:
+            now = self._clock()
+            if report != last or now >= due:
                 self._inner.publish(report)
                 last = report
+                due = now + REPEAT_INTERVAL_S
 
     # -----------------------------------------------------------------------
     #   Questions of the platform
--- a/src/savoryhollow/proxy/gate.py
+++ b/src/savoryhollow/proxy/gate.py
@@ -22,6 +22,8 @@
 MAX_RETRY_AFTER_MS = 1_000
 # Slots assumed of a backend server that names none.
 DEFAULT_SLOTS = 8
+# Time that is left of a slow spell when it is met, on average, in us.
+SPELL_LEFT_US = 150_000
 # Age at which what a backend server said of its pace counts for nothing, in s.
 PACE_LIMIT_S = 0.5
 
@@ -256,6 +258,10 @@
 
     def report(self) -> messages.LoadReport:
         """Return the load as it is now."""
+        in_spell = self.queue.is_in_spell(self._clock())
+        pace_percent = self.pace_percent
+        if in_spell:
+            pace_percent = round(100 * self.queue.usual_pace)
         return messages.LoadReport(
             busy=self.queue.busy,
             queued=len(self.queue.waiting),
@@ -263,5 +269,6 @@
             service_us=int(self.queue.service_s * 1e6),
             leaving=self.leaving,
             queued_by_order=self.queue.waiting_by_order(),
-            pace_percent=self.pace_percent,
+            pace_percent=pace_percent,
+            spell_us=SPELL_LEFT_US if in_spell else 0,
         )
--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -184,7 +184,8 @@
             progress.patient = True
             progress.bounced.clear()
             candidates = self._candidates(call, progress.tried)
-        return self._policy.choose(candidates, now)
+        need = nearby.Need(now, call.objective, call.order)
+        return self._policy.choose(candidates, need)
 
     @property
     def _daemons(self) -> int:
--- a/src/savoryhollow/routing/nearby.py
+++ b/src/savoryhollow/routing/nearby.py
@@ -1,25 +1,37 @@
-"""Choose an endpoint near the caller by the wait that is expected there.
+"""Choose an endpoint by the time that a request would lose there.
 
-Bytes between regions are dear and the link is slow, so another region is only
-taken where the own one has no endpoint left to ask. Two endpoints drawn at random
-are compared: with all of them compared, every router would run to the same one
-whenever its last report was good.
+Bytes between zones cost a little and between regions a lot, and the link between
+regions is slow. So distance weighs the more the less a request has to hurry, and
+another region is only taken by urgent work that would be late in its own, or where
+the own region has no endpoint left to ask.
+
+A few endpoints drawn at random are compared: with all of a large fleet compared,
+every router would run to the same one whenever its last report was good.
 
 Pure computation: the caller passes the instant and the source of randomness.
 """
 
 import dataclasses
+import math
 import random
 
 from savoryhollow.membership import directory
 from savoryhollow.routing import placement
 
-__all__ = ["NearbyPolicy", "Placed", "expected_cost_s"]
+__all__ = ["Need", "NearbyPolicy", "Placed", "expected_cost_s"]
 
 # Endpoints that are compared for one request.
 SAMPLE_SIZE = 3
-# Time that another zone of the region is held to cost, for its delay and price, in s.
-ZONE_COST_S = 0.06
+# Part of the time to spare that another zone is held to cost, and its limits in s.
+ZONE_SHARE = 0.2
+MIN_ZONE_COST_S = 0.02
+MAX_ZONE_COST_S = 0.3
+# Time that another region costs, there and back, in s.
+REGION_COST_S = 0.065
+# Least time that another region has to save, in s.
+REGION_GAIN_S = 0.15
+# The last rank whose work may cross to another region to be in time.
+LAST_CROSSING_ORDER = 1
 # Work time assumed where no report has come, in s.
 FIRST_SERVICE_S = 0.2
 # Slots assumed where none are known.
@@ -28,13 +40,36 @@
 CROWDING = 0.5
 # Part of a work time that a cold endpoint is held to cost.
 COLDNESS = 1.0
+# Age until which a report is believed, as a change would have been told, in s.
+REPORT_LIFE_S = 0.6
+# Time over which an older one loses half of its weight, in s.
+REPORT_HALF_LIFE_S = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What one request needs of an endpoint.
+
+    :param now: the present instant.
+    :param objective: the instant until which its answer is of full use.
+    :param order: the place of its rank, 0 the most urgent.
+    """
+
+    now: float
+    objective: float
+    order: int
+
+    @property
+    def left_s(self) -> float:
+        """The time until the objective, in s."""
+        return self.objective - self.now
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placed:
     """A choice and the figures that decided it.
 
-    :param cost_s: the wait expected there, in s.
+    :param cost_s: the time expected to be lost there, in s.
     :param report_age_s: the age of the load report that it rests on, in s.
     :param candidates: how many endpoints could have been chosen.
     """
@@ -45,33 +80,44 @@
     candidates: int
 
 
-def expected_cost_s(
-    candidate: placement.Candidate, vantage: placement.Vantage, now: float
-) -> float:
+def expected_cost_s(candidate: placement.Candidate, now: float) -> float:
     """Return the time that a request would lose at an endpoint, in s.
 
     :param candidate: the endpoint and its evidence.
-    :param vantage: where this process stands.
     :param now: the present instant.
     """
     evidence = candidate.evidence
     endpoint = candidate.endpoint
     report = evidence.fresh_report(now)
-    weight = evidence.report_weight(now)
-    service_s = FIRST_SERVICE_S
+    weight = _weight(now - evidence.reported_at)
+    service_s = service_time_s(candidate, now)
     slots = FIRST_SLOTS
     pace = 1.0
+    spell_s = 0.0
     if report is not None:
         slots = report.slots
-        service_s = max(report.service_us / 1e6, 0.05)
-        pace = 1 + weight * (report.pace_percent / 100 - 1)
+        pace = 1 + weight * max(0.0, report.pace_percent / 100 - 1)
+        spell_s = weight * report.spell_us / 1e6
     ahead = evidence.in_flight + weight * evidence.load_of_others()
     waiting = max(0.0, ahead + 1 - slots) / slots
     crowding = CROWDING * min(1.0, ahead / slots)
     cold = isinstance(endpoint, directory.KnownEndpoint) and endpoint.cold_until > now
-    coldness = COLDNESS if cold else 0.0
-    distance_s = 0.0 if endpoint.zone == vantage.zone else ZONE_COST_S
-    return service_s * (pace * (1 + waiting) - 1 + crowding + coldness) + distance_s
+    coldness = COLDNESS if cold and pace < 1 + COLDNESS else 0.0
+    return spell_s + service_s * (pace * (1 + waiting) - 1 + crowding + coldness)
+
+
+def service_time_s(candidate: placement.Candidate, now: float) -> float:
+    """Return the time that work takes at an endpoint at its usual pace, in s."""
+    report = candidate.evidence.fresh_report(now)
+    if report is None:
+        return FIRST_SERVICE_S
+    return max(report.service_us / 1e6, 0.05)
+
+
+def _weight(age_s: float) -> float:
+    if age_s <= REPORT_LIFE_S:
+        return 1.0
+    return math.exp2(-(age_s - REPORT_LIFE_S) / REPORT_HALF_LIFE_S)
 
 
 class NearbyPolicy:
@@ -90,24 +136,46 @@
         return candidate.endpoint.region == self._vantage.region
 
     def choose(
-        self, candidates: list[placement.Candidate], now: float
+        self, candidates: list[placement.Candidate], need: Need
     ) -> Placed | None:
         """Return the endpoint for a request, or None where there is none.
 
         :param candidates: the endpoints that it may be sent to.
-        :param now: the present instant.
+        :param need: the request.
         """
-        near = [c for c in candidates if self.is_near(c)]
-        pool = [c for c in near if _is_open(c, now)]
-        pool = pool or [c for c in candidates if _is_open(c, now)] or near or candidates
+        usable = [c for c in candidates if _is_open(c, need.now)] or candidates
+        near = self._best([c for c in usable if self.is_near(c)], need)
+        if near is not None and not self._may_cross(near, need):
+            return near
+        far = self._best([c for c in usable if not self.is_near(c)], need)
+        if far is None or near is None:
+            return near or far
+        return far if far.cost_s + REGION_GAIN_S < near.cost_s else near
+
+    def _best(self, pool: list[placement.Candidate], need: Need) -> Placed | None:
         if not pool:
             return None
         sample = self._rng.sample(pool, min(SAMPLE_SIZE, len(pool)))
-        costs = [expected_cost_s(c, self._vantage, now) for c in sample]
+        costs = [
+            expected_cost_s(c, need.now) + self._distance_s(c, need) for c in sample
+        ]
         cost_s = min(costs)
         best = sample[costs.index(cost_s)]
-        age_s = now - best.evidence.reported_at
-        return Placed(best, cost_s, age_s, len(pool))
+        return Placed(best, cost_s, need.now - best.evidence.reported_at, len(pool))
+
+    def _distance_s(self, candidate: placement.Candidate, need: Need) -> float:
+        if not self.is_near(candidate):
+            return REGION_COST_S
+        if candidate.endpoint.zone == self._vantage.zone:
+            return 0.0
+        spare_s = need.left_s - service_time_s(candidate, need.now)
+        return min(MAX_ZONE_COST_S, max(MIN_ZONE_COST_S, ZONE_SHARE * spare_s))
+
+    @staticmethod
+    def _may_cross(near: Placed, need: Need) -> bool:
+        if need.order > LAST_CROSSING_ORDER:
+            return False
+        return near.cost_s > need.left_s - service_time_s(near.candidate, need.now)
 
 
 def _is_open(candidate: placement.Candidate, now: float) -> bool:
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -48,8 +48,9 @@
     :param service_us: smoothed time that a request holds a slot.
     :param queued_by_order: requests that wait at each order of rank or before
         it, the most urgent order first.
-    :param pace_percent: how long work takes on the instance at this moment; 100
-        is usual.
+    :param pace_percent: how long work takes on the instance; 100 is usual. A slow
+        spell that will soon end is left out.
+    :param spell_us: time until such a spell is expected to end.
     """
 
     busy: Count
@@ -59,6 +60,7 @@
     leaving: bool
     queued_by_order: tuple[Count, ...] = ()
     pace_percent: Count = 100
+    spell_us: Count = 0
 
     def queued_before(self, position: int) -> int:
         """Return the requests that a new one would find before it.
