Bound what a daemon does for others as the fleet grows

Change: a router works with a subset of a large service by a hash of names; links open when needed; silence is looked for on links that owe an answer; loads of one daemon keep to 60 a second; the pace is asked for when a request comes and it is older than 40 ms. Long-lived tasks are started again after a fault and logged.

--- a/src/savoryhollow/configuration/routes.py
+++ b/src/savoryhollow/configuration/routes.py
@@ -70,6 +70,12 @@
             found.setdefault(route.host, {})[route.prefix] = route
         return found
 
+    @functools.cached_property
+    def services(self) -> tuple[str, ...]:
+        """The services that requests go to."""
+        found = {share.service for route in self.routes for share in route.shares}
+        return tuple(sorted(found))
+
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path.
 
--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -239,8 +239,13 @@
         turn.task = self._loop.create_task(self._serve(turn, turn.request))
 
     async def _serve(self, turn: _Turn, request: messages.Request) -> None:
-        turn.response = await self._server.handle(request)
-        self._flush()
+        try:
+            turn.response = await self._server.handle(request)
+        finally:
+            if turn.response is None and not self._ended:
+                # A fault of ours; the caller is told nothing that may be untrue.
+                turn.response = messages.Response(500, close=True)
+            self._flush()
 
     def _flush(self) -> None:
         while self._turns and self._turns[0].response is not None and not self._ended:
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -50,6 +50,7 @@
     RUN_UNKNOWN = 4007
     ENDPOINT_DISTRUSTED = 4008
     RUN_ENDED = 4009
+    PROBE_FAILED = 3008
     LIBRARY_MESSAGE = 9001
     THREAD_FAILED = 9002
 
@@ -67,6 +68,7 @@
         Event.ENDPOINT_UNREADABLE,
         Event.RUN_UNKNOWN,
         Event.ENDPOINT_DISTRUSTED,
+        Event.PROBE_FAILED,
     )
 )
 _ERRORS = frozenset((Event.THREAD_FAILED,))
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -12,6 +12,7 @@
 from savoryhollow.observe import events, output
 from savoryhollow.platform import boot, documents, headers, store
 from savoryhollow.proxy import agent as agent_module
+from savoryhollow.proxy import tasks
 
 __all__ = ["run"]
 
@@ -113,7 +114,7 @@
     adapter = Adapter(settings, agent)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     await agent.start()
-    following = asyncio.create_task(adapter.follower.run())
+    following = tasks.keep_running("follow", adapter.follower.run)
     gc.collect()
     # What is alive now lives as long as the process; keep the collector off it.
     gc.freeze()
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -12,7 +12,7 @@
 from savoryhollow.membership import directory, table
 from savoryhollow.observe import events
 from savoryhollow.proxy import dialect as dialect_module
-from savoryhollow.proxy import front, inner, links, router, running, traffic
+from savoryhollow.proxy import front, inner, links, router, running, tasks, traffic
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.routing import nearby, placement
 from savoryhollow.settings import models
@@ -26,10 +26,8 @@
 REPORT_INTERVAL_S = 0.1
 # How often it is sent although it hasn't changed, in s.
 REPEAT_INTERVAL_S = 0.5
-# Age at which what the backend server said of its load is asked for again, in s.
-PROBE_AGE_S = 0.04
-# Time after the last request for which its load is still asked for, in s.
-PROBE_LINGER_S = 1.0
+# Loads that are sent in a second, to all daemons together, at most.
+REPORTS_PER_S = 60
 # How often lists and timers are looked after, in s.
 UPKEEP_INTERVAL_S = 0.1
 # Room in a message beside the largest body, in bytes.
@@ -116,7 +114,7 @@
         incarnation = secrets.token_hex(INCARNATION_BYTES)
         vantage = placement.Vantage("", settings.region, settings.zone)
 
-        def open_link(endpoint: table.Endpoint) -> links.Link:
+        def open_link(endpoint: directory.KnownEndpoint) -> links.Link:
             hello = messages.HelloMessage(
                 messages.PROTOCOL_VERSION,
                 settings.instance,
@@ -153,9 +151,9 @@
         await self._readiness.start(settings.readiness.host, settings.readiness.port)
         await self._metrics.start(settings.metrics.host, settings.metrics.port)
         await self._callers.start(settings.front.host, settings.front.port)
-        self._tasks.append(asyncio.create_task(self._publish()))
-        self._tasks.append(asyncio.create_task(self._keep_up()))
-        self._tasks.append(asyncio.create_task(self._probe()))
+        self._tasks.append(tasks.keep_running("publish", self._publish))
+        self._tasks.append(tasks.keep_running("keep_up", self._keep_up))
+        self._tasks.append(tasks.keep_running("await_pace", self.gate.await_pace))
         self._tasks.append(asyncio.create_task(self._meet_backend()))
         events.emit(
             events.Event.DAEMON_STARTED,
@@ -209,6 +207,9 @@
         if self.front.table is not None and newer.version <= self.front.table.version:
             return False
         self.front.configure(newer)
+        self.router.expect(newer.services)
+        path = newer.health_paths_by_service.get(self.settings.service)
+        self.runner.probe_path = path or self.runner.probe_path
         limits = newer.limits
         self._callers.limits = callers.Limits(
             limits.header_bytes,
@@ -247,7 +248,7 @@
     async def _meet_backend(self) -> None:
         """Learn which endpoint answers here when this process starts."""
         while self._clock() < self._started_at + self.settings.address_kept_s:
-            await self.runner.probe(self._health_path)
+            await self.runner.probe()
             if self.runner.endpoint_id is not None:
                 self._first_endpoint_id = self.runner.endpoint_id
                 return
@@ -260,6 +261,7 @@
             if self.members.generation != self._seen_generation:
                 self._seen_generation = self.members.generation
                 self._take_in_members()
+            self.router.check_links()
             await asyncio.sleep(UPKEEP_INTERVAL_S)
 
     def _take_in_members(self) -> None:
@@ -274,43 +276,30 @@
         else:
             self.gate.stay()
 
-    async def _probe(self) -> None:
-        """Keep what is known of the backend server's pace fresh while it works."""
-        while True:
-            now = self._clock()
-            due = self.runner.load_at + PROBE_AGE_S
-            idle = now - self.gate.asked_at > PROBE_LINGER_S
-            if idle or due > now:
-                await asyncio.sleep(max(PROBE_AGE_S / 4, 0 if idle else due - now))
-                continue
-            load = await self.runner.probe(self._health_path)
-            if load is None:
-                await asyncio.sleep(PROBE_AGE_S)
-
-    @property
-    def _health_path(self) -> str:
-        found = self.front.table
-        paths = {} if found is None else found.health_paths_by_service
-        return paths.get(self.settings.service, "/health")
-
     def _note_load(self) -> None:
         before = self.gate.queue.pace
         self.gate.note_pace()
-        if abs(self.gate.queue.pace - before) > PACE_STEP:
+        changed = abs(self.gate.queue.pace - before) > PACE_STEP
+        if changed and self._report_interval_s <= REPORT_INTERVAL_S:
             # Other daemons place by it, and it lasts a moment only.
             self._inner.publish(self.gate.report())
 
+    @property
+    def _report_interval_s(self) -> float:
+        """Time between two reports, so that all of them keep to their limit."""
+        return max(REPORT_INTERVAL_S, self._inner.listeners / REPORTS_PER_S)
+
     async def _publish(self) -> None:
         last: messages.LoadReport | None = None
         due = self._clock()
         while True:
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            await asyncio.sleep(self._report_interval_s)
             report = self.gate.report()
             now = self._clock()
             if report != last or now >= due:
                 self._inner.publish(report)
                 last = report
-                due = now + REPEAT_INTERVAL_S
+                due = now + max(REPEAT_INTERVAL_S, self._report_interval_s)
 
     # -----------------------------------------------------------------------
     #   Questions of the platform
--- a/src/savoryhollow/proxy/gate.py
+++ b/src/savoryhollow/proxy/gate.py
@@ -24,6 +24,8 @@
 DEFAULT_SLOTS = 8
 # Time that is left of a slow spell when it is met, on average, in us.
 SPELL_LEFT_US = 150_000
+# Age up to which what it said counts as fresh, in s.
+PACE_AGE_S = 0.04
 # Age at which what a backend server said of its pace counts for nothing, in s.
 PACE_LIMIT_S = 0.5
 
@@ -61,7 +63,7 @@
         self.queue = objectives.ObjectiveQueue(slots, DEFAULT_SLOTS - slots)
         self.leaving = False
         self.in_progress = 0
-        self.asked_at = float("-inf")
+        self.holding = asyncio.Event()
         self._futures: dict[objectives.Waiting, asyncio.Future[None]] = {}
 
     # -----------------------------------------------------------------------
@@ -85,6 +87,7 @@
     async def _serve(self, call: messages.CallMessage) -> Answer:
         now = self._clock()
         deadline = now + call.remaining_us / 1e6
+        await self._runner.refresh(PACE_AGE_S)
         entry = objectives.Waiting(
             kind=call.rank,
             order=call.order,
@@ -92,7 +95,6 @@
             objective=now + call.objective_us / 1e6,
             deadline=deadline,
         )
-        self.asked_at = now
         if self.leaving:
             return self._refuse(call, entry, calls.NotRunReason.LEAVING)
         if not call.patient and self._would_hold(entry, now):
@@ -184,6 +186,8 @@
         self._futures[entry] = future
         self._settle(refused)
         self._grant()
+        if not future.done() and self.queue.is_in_spell(now):
+            self.holding.set()
         try:
             async with asyncio.timeout_at(entry.latest_start):
                 await future
@@ -216,6 +220,17 @@
         entry.work_s = self.queue.work_s(entry.kind, entry.objective - now)
         return self.queue.holds(entry, now)
 
+    async def await_pace(self) -> None:
+        """Look for the end of each slow spell that requests wait for, for ever."""
+        while True:
+            await self.holding.wait()
+            while self.queue.waiting and self.queue.is_in_spell(self._clock()):
+                await asyncio.sleep(PACE_AGE_S)
+                await self._runner.refresh(PACE_AGE_S / 2)
+            self.holding.clear()
+            # A spell that lasts, or a backend server that is silent, holds nothing up.
+            self._grant()
+
     def note_pace(self) -> None:
         """Take in what the backend server has said of its pace."""
         self.queue.note_pace(self.pace_percent / 100, self._clock())
--- a/src/savoryhollow/proxy/inner.py
+++ b/src/savoryhollow/proxy/inner.py
@@ -50,6 +50,11 @@
             )
         )
 
+    @property
+    def listeners(self) -> int:
+        """How many daemons asked to be told the load."""
+        return len(self._listeners)
+
     def publish(self, report: messages.LoadReport) -> None:
         """Send a load to every daemon that asked for it; skip those that lag."""
         if self._listeners:
--- a/src/savoryhollow/proxy/links.py
+++ b/src/savoryhollow/proxy/links.py
@@ -24,13 +24,13 @@
 MIN_PAUSE_S = 0.05
 MAX_PAUSE_S = 1.0
 # Silence after which a peer that owes an answer is asked for a sign of life, in s.
-QUIET_S = 0.4
+QUIET_S = 0.5
 # Time that it has for one, in s.
-PING_TIMEOUT_S = 0.4
+PING_TIMEOUT_S = 0.5
 # Time past its deadline in which a request's answer may still arrive, in s.
 ANSWER_GRACE_S = 0.15
-# How often silence is looked for, in s.
-WATCH_S = 0.1
+# Time for which a request waits for a link that is being opened, in s.
+LINK_WAIT_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +51,9 @@
     :param endpoint_id: the endpoint.
     :param host: the IP number of its instance.
     :param port: the inner port of its daemon.
+
+    It is ``connected``, or ``failing`` since it couldn't be opened or ended, or
+    neither while it is opened for the first time.
     """
 
     def __init__(self, endpoint_id: str, host: str, port: int, settings: LinkSettings):
@@ -58,11 +61,14 @@
         self.host = host
         self.port = port
         self.connected = False
+        self.failing = False
         self._settings = settings
         self._answers_by_id: dict[str, asyncio.Future[gate.Answer]] = {}
         self._connection: websockets.asyncio.client.ClientConnection | None = None
         self._heard_at = 0.0
-        self._tasks = [asyncio.create_task(self._run())]
+        self._ping: asyncio.Task[None] | None = None
+        self._opened = asyncio.Event()
+        self._task = asyncio.create_task(self._run())
 
     @property
     def busy(self) -> bool:
@@ -75,7 +81,7 @@
         :raises errors.ChannelClosedError: where the link ended first.
         :raises errors.PeerUnreachableError: where the request was never sent.
         """
-        connection = self._connection
+        connection = self._connection or await self._wait_for_connection()
         if connection is None:
             text = f"no link to {self.host}; see to its daemon"
             raise errors.PeerUnreachableError(text)
@@ -90,6 +96,33 @@
         finally:
             self._answers_by_id.pop(message.request_id, None)
 
+    async def _wait_for_connection(self):
+        try:
+            async with asyncio.timeout(LINK_WAIT_S):
+                await self._opened.wait()
+        except TimeoutError:
+            return None
+        return self._connection
+
+    def check(self, now: float) -> None:
+        """Look for silence; call it often while an answer is owed.
+
+        :param now: the present instant.
+        """
+        connection = self._connection
+        if connection is None or now - self._heard_at < QUIET_S:
+            return
+        if self._ping is None or self._ping.done():
+            self._ping = asyncio.create_task(self._ask_for_life(connection))
+
+    async def _ask_for_life(self, connection) -> None:
+        try:
+            async with asyncio.timeout(PING_TIMEOUT_S):
+                await (await connection.ping())
+            self._heard_at = asyncio.get_running_loop().time()
+        except (TimeoutError, websockets.ConnectionClosed):
+            connection.transport.abort()
+
     async def _send(self, connection, message: messages.Message) -> None:
         try:
             await connection.send(codec.encode(message))
@@ -109,8 +142,7 @@
 
     def close(self) -> None:
         """End the link for good."""
-        for task in self._tasks:
-            task.cancel()
+        self._task.cancel()
         self._fail_all("the endpoint is gone")
 
     # -----------------------------------------------------------------------
@@ -142,19 +174,17 @@
             proxy=None,
             user_agent_header=None,
         )
-        watcher: asyncio.Task[None] | None = None
         try:
             await connection.send(codec.encode(settings.hello))
             self._heard_at = asyncio.get_running_loop().time()
             self._connection = connection
-            watcher = asyncio.create_task(self._watch(connection))
+            self._opened.set()
             self._note_regained()
             async for data in connection:
                 self._take(data)
         finally:
             self._connection = None
-            if watcher is not None:
-                watcher.cancel()
+            self._opened.clear()
             connection.transport.abort()
             self._note_lost("the connection ended")
 
@@ -168,27 +198,13 @@
             if answer is not None and not answer.done():
                 answer.set_result(message)
 
-    async def _watch(self, connection) -> None:
-        """End a connection on which an answer is owed and nothing comes."""
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(WATCH_S)
-            if not self._answers_by_id or loop.time() - self._heard_at < QUIET_S:
-                continue
-            try:
-                async with asyncio.timeout(PING_TIMEOUT_S):
-                    await (await connection.ping())
-                self._heard_at = loop.time()
-            except (TimeoutError, websockets.ConnectionClosed):
-                connection.transport.abort()
-                return
-
     # -----------------------------------------------------------------------
     #   Losses
     # -----------------------------------------------------------------------
 
     def _note_regained(self) -> None:
         self.connected = True
+        self.failing = False
         events.emit(
             events.Event.PEER_REGAINED, endpoint_id=self.endpoint_id, host=self.host
         )
@@ -203,6 +219,7 @@
                 open_requests=len(self._answers_by_id),
             )
         self.connected = False
+        self.failing = True
         self._fail_all(detail)
 
     def _fail_all(self, detail: str) -> None:
--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -7,13 +7,13 @@
 
 from savoryhollow import calls, errors
 from savoryhollow.budgets import shared
-from savoryhollow.membership import directory, table
+from savoryhollow.membership import directory
 from savoryhollow.observe import events
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.proxy import links
 from savoryhollow.recovery import retrying
 from savoryhollow.routing import evidence as evidence_module
-from savoryhollow.routing import nearby, placement
+from savoryhollow.routing import nearby, placement, subsets
 from savoryhollow.wire import messages
 
 __all__ = ["RetryRules", "Router"]
@@ -82,7 +82,7 @@
         local_gate: gate_module.Gate,
         policy: nearby.NearbyPolicy,
         retry_rules: RetryRules,
-        open_link: collections.abc.Callable[[table.Endpoint], links.Link],
+        open_link: collections.abc.Callable[[directory.KnownEndpoint], links.Link],
         clock: collections.abc.Callable[[], float],
     ):
         self._vantage = vantage
@@ -97,29 +97,58 @@
         self.links_by_host: dict[str, links.Link] = {}
         self.evidence_by_id: dict[str, evidence_module.EndpointEvidence] = {}
         self.budgets_by_service: dict[str, shared.SharedRetryBudget] = {}
+        self._subsets_by_service: dict[str, list[directory.KnownEndpoint]] = {}
 
     # -----------------------------------------------------------------------
     #   Endpoints
     # -----------------------------------------------------------------------
 
     def meet(self) -> None:
-        """Open links to new endpoints and drop what is gone."""
-        endpoints = self._members.endpoints_by_id.values()
-        hosts = {endpoint.host: endpoint for endpoint in endpoints}
-        hosts.pop(self._host, None)
-        for host, endpoint in hosts.items():
-            link = self.links_by_host.get(host)
-            if link is None:
-                self.links_by_host[host] = self._open_link(endpoint)
-            else:
-                link.endpoint_id = endpoint.endpoint_id
-        for host in self.links_by_host.keys() - hosts.keys():
-            if not self.links_by_host[host].busy:
+        """Open links to the endpoints worked with, and drop what is gone."""
+        self._subsets_by_service.clear()
+        by_host = {one.host: one for one in self._members.endpoints_by_id.values()}
+        for service in self.budgets_by_service:
+            for endpoint in self._subset(service):
+                self._link(endpoint)
+        for host in tuple(self.links_by_host):
+            if host in by_host:
+                self.links_by_host[host].endpoint_id = by_host[host].endpoint_id
+            elif not self.links_by_host[host].busy:
                 self.links_by_host.pop(host).close()
         for endpoint_id in self.evidence_by_id.keys() - self._members.endpoints_by_id:
             if not self.evidence_by_id[endpoint_id].in_flight:
                 del self.evidence_by_id[endpoint_id]
 
+    def expect(self, services: collections.abc.Iterable[str]) -> None:
+        """Get ready for requests of some services."""
+        for service in services:
+            self._budget(service)
+        self.meet()
+
+    def check_links(self) -> None:
+        """Look for links that went silent."""
+        now = self._clock()
+        for link in self.links_by_host.values():
+            if link.busy:
+                link.check(now)
+
+    def _subset(self, service: str) -> list[directory.KnownEndpoint]:
+        subset = self._subsets_by_service.get(service)
+        if subset is None:
+            live = self._members.live(service)
+            subset = subsets.select(live, self._vantage, self._host)
+            self._subsets_by_service[service] = subset
+        return subset
+
+    def _link(self, endpoint: directory.KnownEndpoint) -> links.Link | None:
+        if endpoint.host == self._host:
+            return None
+        link = self.links_by_host.get(endpoint.host)
+        if link is None:
+            link = self._open_link(endpoint)
+            self.links_by_host[endpoint.host] = link
+        return link
+
     def observe(self, endpoint_id: str, report: messages.LoadReport) -> None:
         """Take in a load that a gate sent unasked."""
         self._evidence(endpoint_id).observe(report, self._clock())
@@ -130,22 +159,23 @@
         )
 
     def _candidates(self, call: calls.Call, tried: set[str]):
-        found = []
-        for endpoint in self._members.live(call.service):
-            if endpoint.endpoint_id in tried:
-                continue
-            local = endpoint.host == self._host
-            evidence = self._evidence(endpoint.endpoint_id)
-            if local:
-                evidence.observe(self._gate.report(), self._clock())
-            elif not self._is_linked(endpoint.host):
-                continue
-            found.append(placement.Candidate(endpoint, evidence))
-        return found
-
-    def _is_linked(self, host: str) -> bool:
-        link = self.links_by_host.get(host)
-        return link is not None and link.connected
+        subset = self._subset(call.service)
+        found = [c for c in map(self._candidate, subset) if c and _untried(c, tried)]
+        if any(self._policy.is_near(c) for c in found):
+            return found
+        # None is left of the subset nearby: any other may do.
+        live = self._members.live(call.service)
+        return [c for c in map(self._candidate, live) if c and _untried(c, tried)]
+
+    def _candidate(self, endpoint) -> placement.Candidate | None:
+        evidence = self._evidence(endpoint.endpoint_id)
+        if endpoint.host == self._host:
+            evidence.observe(self._gate.report(), self._clock())
+        else:
+            link = self._link(endpoint)
+            if link is None or link.failing:
+                return None
+        return placement.Candidate(endpoint, evidence)
 
     # -----------------------------------------------------------------------
     #   Routing
@@ -189,7 +219,7 @@
 
     @property
     def _daemons(self) -> int:
-        return len(self.links_by_host) + 1
+        return max(1, len(self._members.endpoints_by_id))
 
     def _budget(self, service: str) -> shared.SharedRetryBudget:
         budget = self.budgets_by_service.get(service)
@@ -357,6 +387,10 @@
             )
 
 
+def _untried(candidate: placement.Candidate, tried: set[str]) -> bool:
+    return candidate.endpoint.endpoint_id not in tried
+
+
 def _detail(outcome: calls.Outcome) -> str:
     if isinstance(outcome, calls.Served):
         return str(outcome.status)
--- a/src/savoryhollow/proxy/running.py
+++ b/src/savoryhollow/proxy/running.py
@@ -7,6 +7,7 @@
 
 from savoryhollow import calls, errors
 from savoryhollow.http1 import backends, messages
+from savoryhollow.observe import events
 from savoryhollow.proxy import dialect as dialect_module
 from savoryhollow.wire import messages as wire
 
@@ -14,6 +15,10 @@
 
 # Time past the deadline in which the backend server may still say so itself, in s.
 ANSWER_GRACE_S = 0.1
+# Time that a request waits to learn the pace of this moment, in s.
+PROBE_WAIT_S = 0.02
+# Time that a probe may take, in s, and for which none is sent after one failed.
+PROBE_TIMEOUT_S = 0.5
 # Time kept for the way back to the caller, in s.
 RETURN_S = 0.005
 
@@ -71,6 +76,9 @@
         self.load: BackendLoad | None = None
         self.load_at = float("-inf")
         self.endpoint_id: str | None = None
+        self.probe_path = "/"
+        self._probe: asyncio.Task[BackendLoad | None] | None = None
+        self._no_probe_until = float("-inf")
         self.on_load: collections.abc.Callable[[], None] = lambda: None
 
     async def run(self, call: wire.CallMessage, deadline: float) -> RunResult:
@@ -106,15 +114,29 @@
         self.pool.release(connection)
         return self._judge(response)
 
-    async def probe(self, path: str) -> BackendLoad | None:
+    async def refresh(self, max_age_s: float) -> None:
+        """Learn the load again where it is old, without waiting for long.
+
+        :param max_age_s: the age up to which it counts as fresh.
+        """
+        now = self.pool.clock()
+        if now - self.load_at <= max_age_s or now < self._no_probe_until:
+            return
+        if self._probe is None or self._probe.done():
+            self._probe = asyncio.create_task(self.probe())
+        await asyncio.wait({self._probe}, timeout=PROBE_WAIT_S)
+
+    async def probe(self) -> BackendLoad | None:
         """Ask the backend server for its load; None where it doesn't say."""
+        headers = (calls.Header("Host", f"{self.pool.host}:{self.pool.port}"),)
+        request = messages.Request("GET", self.probe_path, headers, b"")
         try:
-            connection, _ = await self.pool.acquire()
-            headers = (calls.Header("Host", f"{self.pool.host}:{self.pool.port}"),)
-            request = messages.Request("GET", path, headers, b"")
-            async with asyncio.timeout(1.0):
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                connection, _ = await self.pool.acquire()
                 response = await connection.exchange(messages.render_request(request))
-        except (errors.BackendError, TimeoutError):
+        except (errors.BackendError, TimeoutError) as error:
+            self._no_probe_until = self.pool.clock() + PROBE_TIMEOUT_S
+            events.emit(events.Event.PROBE_FAILED, detail=repr(error))
             return None
         self.pool.release(connection)
         named = messages.find(response.headers, self._dialect.endpoint_id)
--- /dev/null
+++ b/src/savoryhollow/proxy/tasks.py
@@ -0,0 +1,45 @@
+"""Tasks that go on for as long as the process does."""
+
+import asyncio
+import collections.abc
+
+from savoryhollow.observe import events
+
+__all__ = ["keep_running"]
+
+# Pause before a task that failed is started again, in s.
+RESTART_PAUSE_S = 0.3
+
+
+def keep_running(
+    name: str, work: collections.abc.Callable[[], collections.abc.Awaitable[None]]
+) -> asyncio.Task[None]:
+    """Start a task, and start it again whenever it fails by a fault of ours.
+
+    :param name: names it in the log.
+    :param work: what it does; never returns.
+    """
+
+    async def run() -> None:
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                _report(name, error)
+            await asyncio.sleep(RESTART_PAUSE_S)
+
+    return asyncio.create_task(run(), name=name)
+
+
+def _report(name: str, error: Exception) -> None:
+    # The text of the exception is left out, as it may quote a caller.
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    events.emit(
+        events.Event.THREAD_FAILED,
+        thread=name,
+        error=type(error).__name__,
+        function=trace.tb_frame.f_code.co_name if trace else "",
+        line=trace.tb_lineno if trace else 0,
+    )
--- /dev/null
+++ b/src/savoryhollow/routing/subsets.py
@@ -0,0 +1,53 @@
+"""The few endpoints of a large service that one router works with.
+
+With thousands of endpoints and routers, a link from each router to each endpoint
+would grow with the square of the fleet. Each router takes those that rank highest
+in a hash of its own name and theirs, so that endpoints are shared evenly, and most
+of a subset stays when endpoints come and go.
+
+Pure computation.
+"""
+
+import collections.abc
+
+import xxhash
+
+from savoryhollow.membership import table
+from savoryhollow.routing import placement
+
+__all__ = ["select"]
+
+# Endpoints of the own zone, of other zones of the region and of other regions.
+OWN_ZONE_SIZE = 6
+REGION_SIZE = 5
+REMOTE_SIZE = 4
+
+Endpoint = table.Endpoint
+
+
+def select(
+    endpoints: collections.abc.Iterable[Endpoint],
+    vantage: placement.Vantage,
+    name: str,
+) -> list[Endpoint]:
+    """Return the subset of a service's endpoints for one router.
+
+    :param endpoints: the endpoints of the service.
+    :param vantage: where the router stands.
+    :param name: what tells the router from others.
+    """
+    ranked = sorted(endpoints, key=lambda one: _rank(name, one.host))
+    own = [one for one in ranked if one.zone == vantage.zone]
+    region = [
+        one
+        for one in ranked
+        if one.region == vantage.region and one.zone != vantage.zone
+    ]
+    remote = [one for one in ranked if one.region != vantage.region]
+    # A zone with few endpoints makes room for the others of its region.
+    region_size = REGION_SIZE + max(0, OWN_ZONE_SIZE - len(own))
+    return own[:OWN_ZONE_SIZE] + region[:region_size] + remote[:REMOTE_SIZE]
+
+
+def _rank(name: str, host: str) -> int:
+    return xxhash.xxh64_intdigest(f"{name} {host}".encode())
