Read the store in two daemons of a region, and tell the others

Ruled out: a longer wait of the watch, as a silent store then shows later.

Change: each daemon ranks the hosts of its region by a hash and knows by itself who reads; followers subscribe over the links they have, catch up by revision, and read for themselves where no reader vouches for what is known. Items travel packed.

--- a/src/savoryhollow/platform/documents.py
+++ b/src/savoryhollow/platform/documents.py
@@ -2,12 +2,15 @@
 
 import base64
 import binascii
+import zlib
 
 import msgspec
 
 from savoryhollow import errors
 from savoryhollow.configuration import routes
 from savoryhollow.membership import directory, table
+from savoryhollow.proxy import relay
+from savoryhollow.wire import messages
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -19,6 +22,7 @@
     "decode_endpoint",
     "decode_page",
     "decode_table",
+    "publish",
 ]
 
 CONFIGURATION_KEY = "op/config"
@@ -74,6 +78,18 @@
     as_of: int
 
 
+def publish(change: Change) -> messages.PublishedItem:
+    """Return a change as the daemons tell each other of it."""
+    if change.value is None or change.tombstone:
+        return messages.PublishedItem(change.key, change.revision, None)
+    try:
+        content = change.content
+    except errors.StoreError:
+        # Rejected where it is decoded, in every daemon alike.
+        content = b""
+    return messages.PublishedItem(change.key, change.revision, relay.pack(content))
+
+
 def decode_page(body: bytes) -> Page:
     """Decode a page of items.
 
@@ -90,6 +106,14 @@
     return _decode(body, Changes)
 
 
+def _content(item: messages.PublishedItem) -> bytes:
+    try:
+        return relay.unpack(item.content or b"")
+    except zlib.error as error:
+        text = f"{item.key} has no content: {error}; see to its writer"
+        raise errors.StoreError(text) from error
+
+
 def _decode(body, cls):
     try:
         return msgspec.json.decode(body, type=cls)
@@ -119,24 +143,27 @@
 
 
 def decode_endpoint(
-    change: Change, regions_by_zone: dict[str, str], inner_port: int, now: float
+    item: messages.PublishedItem,
+    regions_by_zone: dict[str, str],
+    inner_port: int,
+    now: float,
 ) -> directory.KnownEndpoint:
     """Decode the entry of a backend server.
 
-    :param change: its item.
+    :param item: its item.
     :param regions_by_zone: the regions of the availability zones.
     :param inner_port: the port of all daemons.
     :param now: the present instant.
     :raises errors.StoreError: where it names no endpoint to use.
     """
-    entry = _decode(change.content, _Entry)
+    entry = _decode(_content(item), _Entry)
     host, _, port = entry.address.rpartition(":")
     known = entry.zone in regions_by_zone and entry.state in STATES_BY_WORD
     if not (known and host and port.isdigit() and entry.service):
-        text = f"{change.key} names no endpoint; see to its writer"
+        text = f"{item.key} names no endpoint; see to its writer"
         raise errors.StoreError(text)
     return directory.KnownEndpoint(
-        endpoint_id=change.key.removeprefix(ENDPOINT_PREFIX),
+        endpoint_id=item.key.removeprefix(ENDPOINT_PREFIX),
         service=entry.service,
         region=regions_by_zone[entry.zone],
         zone=entry.zone,
@@ -145,7 +172,7 @@
         state=STATES_BY_WORD[entry.state],
         slots=max(0, entry.slots),
         cold_until=now + entry.cold_s if entry.cold_s > 0 else float("-inf"),
-        revision=change.revision,
+        revision=item.revision,
     )
 
 
@@ -216,12 +243,12 @@
     clusters: list[_Cluster] = []
 
 
-def decode_table(change: Change) -> routes.RouteTable:
+def decode_table(item: messages.PublishedItem) -> routes.RouteTable:
     """Decode the operator's configuration.
 
     :raises errors.StoreError: where it can't be read or breaks its own form.
     """
-    document = _decode(change.content, _Document)
+    document = _decode(_content(item), _Document)
     found = tuple(
         _route(listener.host, rule)
         for listener in document.listeners
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -8,11 +8,11 @@
 import signal
 
 from savoryhollow import errors
-from savoryhollow.membership import directory
 from savoryhollow.observe import events, output
 from savoryhollow.platform import boot, documents, headers, store
 from savoryhollow.proxy import agent as agent_module
 from savoryhollow.proxy import tasks
+from savoryhollow.wire import messages
 
 __all__ = ["run"]
 
@@ -24,69 +24,55 @@
     """Tells an agent what the platform publishes.
 
     :param settings: the settings of the instance.
-    :param agent: the daemon.
     """
 
-    def __init__(self, settings: boot.BootSettings, agent: agent_module.Agent):
+    def __init__(self, settings: boot.BootSettings):
         self._settings = settings
-        self._agent = agent
         self._clock = asyncio.get_running_loop().time
-        self.follower = store.StoreFollower(
-            settings.store, self.take_all, self.take_change, self.note_contact
+        self.agent = agent_module.Agent(
+            settings.agent, headers.DIALECT, self.take_items
         )
+        self.follower = store.StoreFollower(settings.store, self.agent)
 
-    def take_all(self, items: list[documents.Change]) -> None:
-        """Take in everything that the store holds."""
-        endpoints = []
-        for item in items:
+    def take_items(self, items: list[messages.PublishedItem]) -> None:
+        """Take in what is new or changed."""
+        for item in sorted(items, key=lambda one: one.revision):
             if item.key == documents.CONFIGURATION_KEY:
-                self.take_change(item)
+                self._take_configuration(item)
             elif item.key.startswith(documents.ENDPOINT_PREFIX):
-                endpoint = self._endpoint(item)
-                if endpoint is not None:
-                    endpoints.append(endpoint)
-        self._agent.members.replace(endpoints, self._clock())
-
-    def take_change(self, change: documents.Change) -> None:
-        """Take in one change."""
-        if change.key == documents.CONFIGURATION_KEY:
-            self._take_configuration(change)
-        elif change.key.startswith(documents.ENDPOINT_PREFIX):
-            self._take_endpoint(change)
-
-    def note_contact(self, good: bool) -> None:
-        """Take in whether the store answers."""
-        if good:
-            self._agent.members.regain_source(self._clock())
-        else:
-            self._agent.members.lose_source(self._clock())
+                self._take_endpoint(item)
 
-    def _take_configuration(self, change: documents.Change) -> None:
-        if change.tombstone:
+    def _take_configuration(self, item: messages.PublishedItem) -> None:
+        if item.content is None:
             return
         try:
-            self._agent.configure(documents.decode_table(change))
+            self.agent.configure(documents.decode_table(item))
         except errors.StoreError as error:
             events.emit(
                 events.Event.CONFIGURATION_REJECTED,
-                revision=change.revision,
+                revision=item.revision,
                 problems=[str(error)],
             )
 
-    def _take_endpoint(self, change: documents.Change) -> None:
-        endpoint_id = change.key.removeprefix(documents.ENDPOINT_PREFIX)
-        members = self._agent.members
-        if change.tombstone:
-            members.remove(endpoint_id, self._clock())
-            self._log(endpoint_id, "removed", change)
-            return
-        endpoint = self._endpoint(change)
+    def _take_endpoint(self, item: messages.PublishedItem) -> None:
+        endpoint_id = item.key.removeprefix(documents.ENDPOINT_PREFIX)
+        members = self.agent.members
+        endpoint = None if item.content is None else self._endpoint(item)
         if endpoint is None:
             members.remove(endpoint_id, self._clock())
+            state = "removed"
         elif members.put(endpoint):
-            self._log(endpoint_id, endpoint.state.value, change)
+            state = endpoint.state.value
+        else:
+            return
+        events.emit(
+            events.Event.ENDPOINT_CHANGED,
+            endpoint_id=endpoint_id,
+            state=state,
+            revision=item.revision,
+        )
 
-    def _endpoint(self, item: documents.Change) -> directory.KnownEndpoint | None:
+    def _endpoint(self, item: messages.PublishedItem):
         settings = self._settings
         try:
             return documents.decode_endpoint(
@@ -96,22 +82,14 @@
             events.emit(events.Event.ENDPOINT_UNREADABLE, detail=str(error))
             return None
 
-    def _log(self, endpoint_id: str, state: str, change: documents.Change) -> None:
-        events.emit(
-            events.Event.ENDPOINT_CHANGED,
-            endpoint_id=endpoint_id,
-            state=state,
-            revision=change.revision,
-        )
-
 
 async def _serve(settings: boot.BootSettings) -> bool:
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
-    agent = agent_module.Agent(settings.agent, headers.DIALECT)
-    adapter = Adapter(settings, agent)
+    adapter = Adapter(settings)
+    agent = adapter.agent
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     await agent.start()
     following = tasks.keep_running("follow", adapter.follower.run)
--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -1,7 +1,6 @@
 """Follow the platform's store: read all once, then watch what changes."""
 
 import asyncio
-import collections.abc
 import random
 import urllib.parse
 
@@ -9,15 +8,20 @@
 from savoryhollow.http1 import backends, messages
 from savoryhollow.observe import events
 from savoryhollow.platform import documents
+from savoryhollow.proxy import agent as agent_module
 from savoryhollow.settings import models
 
 __all__ = ["StoreFollower"]
 
 # Time for which a watch waits for a change, in ms.
-WATCH_MS = 3000
+WATCH_MS = 2500
+# Time for which changes gather before the next watch, in s.
+GATHER_S = 0.2
+# How often a daemon that follows others looks whether it is its turn, in s.
+TURN_INTERVAL_S = 0.1
 # Time that the store has for an answer, beyond the wait that was asked for, in s;
 # longer with each call that fails, for a store that is slow.
-FIRST_ANSWER_LIMIT_S = 1.0
+FIRST_ANSWER_LIMIT_S = 0.8
 MAX_ANSWER_LIMIT_S = 3.0
 # Shortest and longest pause after a call that failed, in s.
 MIN_PAUSE_S = 0.05
@@ -27,74 +31,83 @@
 
 
 class StoreFollower:
-    """Hands on everything that the store holds, and each change of it.
+    """Brings what the store holds to an agent, while it is the agent's turn to read.
 
     :param target: the address of the store.
-    :param on_items: takes in all items at once.
-    :param on_change: takes in one change.
-    :param on_contact: told True where the store answers, False where it fails.
+    :param agent: the daemon.
     """
 
-    def __init__(
-        self,
-        target: models.Target,
-        on_items: collections.abc.Callable[[list[documents.Change]], None],
-        on_change: collections.abc.Callable[[documents.Change], None],
-        on_contact: collections.abc.Callable[[bool], None],
-    ):
+    def __init__(self, target: models.Target, agent: agent_module.Agent):
         self._pool = backends.Pool(target.host, target.port)
         self._host = f"{target.host}:{target.port}"
-        self._on_items = on_items
-        self._on_change = on_change
-        self._on_contact = on_contact
-        self._in_contact: bool | None = None
+        self._agent = agent
+        self._replica = agent.replica
+        self._clock = asyncio.get_running_loop().time
         self._answer_limit_s = FIRST_ANSWER_LIMIT_S
+        self._in_contact: bool | None = None
         self.calls = 0
 
     async def run(self) -> None:
         """Follow the store for ever."""
         pause_s = MIN_PAUSE_S
-        revision: int | None = None
         while True:
+            if not self._is_due():
+                await asyncio.sleep(TURN_INTERVAL_S)
+                continue
             try:
-                if revision is None or not self._in_contact:
-                    # A read tells sooner than a watch whether the store is back.
-                    revision = await self._read_all()
-                revision = await self._watch(revision)
+                await self._read()
                 pause_s = MIN_PAUSE_S
-                self._answer_limit_s = FIRST_ANSWER_LIMIT_S
             except errors.SavoryhollowError as error:
                 self._note_contact(False, str(error))
                 await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
                 pause_s = min(MAX_PAUSE_S, 2 * pause_s)
 
-    async def _read_all(self) -> int:
+    def _is_due(self) -> bool:
+        if self._replica.as_of < 0 or self._agent.reads_platform:
+            return True
+        return self._replica.may_try(self._clock())
+
+    async def _read(self) -> None:
+        # A read tells sooner than a watch whether the store is back.
+        known = self._replica.as_of
+        if known < 0 or self._in_contact is False or not await self._watch(known):
+            await self._read_all()
+        self._answer_limit_s = FIRST_ANSWER_LIMIT_S
+
+    async def _read_all(self) -> None:
         items: list[documents.Change] = []
-        first: int | None = None
+        as_of: int | None = None
         after = ""
         while True:
-            query = {"prefix": ""} | ({"after": after} if after else {})
+            # What is a little old is made good by the watch that follows.
+            query = {"prefix": "", "stale_ok": "1"}
+            query |= {"after": after} if after else {}
             page = documents.decode_page(await self._get("kv-range", query))
             # Pages are no snapshot: what changed meanwhile is watched from the first.
-            first = page.as_of if first is None else first
+            as_of = page.as_of if as_of is None else min(as_of, page.as_of)
             items += page.items
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
         self._note_contact(True)
-        self._on_items(items)
-        return first
+        newer = self._replica.take_all([documents.publish(one) for one in items], as_of)
+        self._agent.tell_followers(newer)
 
-    async def _watch(self, revision: int) -> int | None:
+    async def _watch(self, revision: int) -> bool:
+        """Take in what changes; return False where that history is gone."""
         query = {"prefix": "", "after": str(revision), "wait_ms": str(WATCH_MS)}
         body = await self._get("kv-watch", query, WATCH_MS / 1000)
-        self._note_contact(True)
         if body is None:
-            return None
+            return False
+        self._note_contact(True)
         changes = documents.decode_changes(body)
-        for change in changes.events:
-            self._on_change(change)
-        return max(revision, changes.as_of)
+        items = [documents.publish(change) for change in changes.events]
+        newer = self._replica.take(items, changes.as_of)
+        self._agent.tell_followers(newer)
+        if newer:
+            # Changes come in bursts; each call is dear.
+            await asyncio.sleep(GATHER_S)
+        return True
 
     async def _get(
         self, call: str, query: dict[str, str], wait_s: float = 0.0
@@ -121,11 +134,12 @@
         return response.body
 
     def _note_contact(self, good: bool, detail: str = "") -> None:
+        self._replica.note_own_contact(good)
         if self._in_contact is good:
             return
         self._in_contact = good
-        self._on_contact(good)
         if good:
             events.emit(events.Event.STORE_REGAINED)
         else:
             events.emit(events.Event.STORE_UNREACHABLE, detail=detail)
+            self._agent.tell_followers([])
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -1,6 +1,7 @@
 """Put the parts of the event-loop path together, and run them."""
 
 import asyncio
+import collections.abc
 import dataclasses
 import random
 import secrets
@@ -12,7 +13,16 @@
 from savoryhollow.membership import directory, table
 from savoryhollow.observe import events
 from savoryhollow.proxy import dialect as dialect_module
-from savoryhollow.proxy import front, inner, links, router, running, tasks, traffic
+from savoryhollow.proxy import (
+    front,
+    inner,
+    links,
+    relay,
+    router,
+    running,
+    tasks,
+    traffic,
+)
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.routing import nearby, placement
 from savoryhollow.settings import models
@@ -28,6 +38,8 @@
 REPEAT_INTERVAL_S = 0.5
 # Loads that are sent in a second, to all daemons together, at most.
 REPORTS_PER_S = 60
+# How often a reader says that it is well, in s.
+RELAY_INTERVAL_S = 0.5
 # How often lists and timers are looked after, in s.
 UPKEEP_INTERVAL_S = 0.1
 # Room in a message beside the largest body, in bytes.
@@ -81,13 +93,20 @@
 
     :param settings: the settings of the process.
     :param dialect: how callers and backend servers are spoken to.
+    :param on_items: takes in what the platform has published.
     """
 
-    def __init__(self, settings: AgentSettings, dialect: dialect_module.Dialect):
+    def __init__(
+        self,
+        settings: AgentSettings,
+        dialect: dialect_module.Dialect,
+        on_items: collections.abc.Callable[[list[messages.PublishedItem]], None],
+    ):
         self.settings = settings
         self._dialect = dialect
         self._clock = asyncio.get_running_loop().time
         self.members = directory.Directory()
+        self.replica = relay.Replica(on_items, self._note_contact)
         self.counts = traffic.Counts()
         self._stopping = False
         self._started_at = self._clock()
@@ -104,7 +123,7 @@
         self._readiness = callers.Server(self._answer_readiness)
         self._metrics = callers.Server(self._answer_metrics)
         self._inner = inner.InnerPort(
-            self.gate, FIRST_BODY_BYTES + MESSAGE_MARGIN_BYTES, lambda _: None
+            self.gate, FIRST_BODY_BYTES + MESSAGE_MARGIN_BYTES, self.replica
         )
         self.runner.on_load = self._note_load
         self._tasks: list[asyncio.Task[None]] = []
@@ -122,7 +141,11 @@
                 wants_reports=endpoint.region == settings.region,
             )
             shared = links.LinkSettings(
-                hello, FIRST_BODY_BYTES + MESSAGE_MARGIN_BYTES, self.router.observe
+                hello,
+                FIRST_BODY_BYTES + MESSAGE_MARGIN_BYTES,
+                self.router.observe,
+                lambda message: self.replica.hear(message, self._clock()),
+                lambda: self.replica.as_of,
             )
             return links.Link(
                 endpoint.endpoint_id, endpoint.host, endpoint.port, shared
@@ -155,6 +178,7 @@
         self._tasks.append(tasks.keep_running("keep_up", self._keep_up))
         self._tasks.append(tasks.keep_running("await_pace", self.gate.await_pace))
         self._tasks.append(asyncio.create_task(self._meet_backend()))
+        self._tasks.append(tasks.keep_running("follow_readers", self._keep_following))
         events.emit(
             events.Event.DAEMON_STARTED,
             service=settings.service,
@@ -245,6 +269,51 @@
             return answering
         return answering if answering == self._first_endpoint_id else None
 
+    # -----------------------------------------------------------------------
+    #   Who reads the platform
+    # -----------------------------------------------------------------------
+
+    @property
+    def reads_platform(self) -> bool:
+        """Whether this daemon is one of those that read for their region."""
+        return self.settings.backend.host in self._reader_hosts()
+
+    def tell_followers(self, items: list[messages.PublishedItem]) -> None:
+        """Tell the daemons that follow this one what was read."""
+        replica = self.replica
+        message = messages.ItemsMessage(replica.as_of, replica.in_contact, tuple(items))
+        self._inner.relay(message)
+
+    def _reader_hosts(self) -> list[str]:
+        hosts = {self.settings.backend.host}
+        for endpoint in self.members.endpoints_by_id.values():
+            link = self.router.links_by_host.get(endpoint.host)
+            reachable = link is None or not link.failing
+            if endpoint.region == self.settings.region and reachable:
+                hosts.add(endpoint.host)
+        return relay.rank_readers(hosts)[: relay.READERS]
+
+    async def _keep_following(self) -> None:
+        while True:
+            if self.reads_platform:
+                self.tell_followers([])
+            self._follow_readers()
+            await asyncio.sleep(RELAY_INTERVAL_S)
+
+    def _follow_readers(self) -> None:
+        readers = set(self._reader_hosts())
+        for endpoint in tuple(self.members.endpoints_by_id.values()):
+            if endpoint.host in readers:
+                link = self.router.link(endpoint)
+                if link is not None:
+                    link.follow()
+
+    def _note_contact(self, good: bool) -> None:
+        if good:
+            self.members.regain_source(self._clock())
+        else:
+            self.members.lose_source(self._clock())
+
     async def _meet_backend(self) -> None:
         """Learn which endpoint answers here when this process starts."""
         while self._clock() < self._started_at + self.settings.address_kept_s:
--- a/src/savoryhollow/proxy/inner.py
+++ b/src/savoryhollow/proxy/inner.py
@@ -1,7 +1,6 @@
 """The port on which the daemons of other instances are accepted."""
 
 import asyncio
-import collections.abc
 
 import websockets
 import websockets.asyncio.server
@@ -9,6 +8,7 @@
 from savoryhollow import errors
 from savoryhollow.observe import events
 from savoryhollow.proxy import gate as gate_module
+from savoryhollow.proxy import relay
 from savoryhollow.wire import codec, messages
 
 __all__ = ["InnerPort"]
@@ -19,22 +19,21 @@
 
     :param gate: the gate of this instance.
     :param max_message_bytes: the largest message accepted.
-    :param answer_aside: answers messages that ask for no slot, or returns None.
+    :param replica: what daemons that follow this one are told.
     """
 
     def __init__(
         self,
         gate: gate_module.Gate,
         max_message_bytes: int,
-        answer_aside: collections.abc.Callable[
-            [messages.Message], messages.Message | None
-        ],
+        replica: relay.Replica,
     ):
         self._gate = gate
         self._max_message_bytes = max_message_bytes
-        self._answer_aside = answer_aside
+        self._replica = replica
         self._servers: list[websockets.asyncio.server.Server] = []
         self._listeners: set[websockets.asyncio.server.ServerConnection] = set()
+        self._followers: set[websockets.asyncio.server.ServerConnection] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Listen on one more address."""
@@ -61,6 +60,11 @@
             data = codec.encode(messages.ReportMessage(report))
             websockets.broadcast(self._listeners, data)
 
+    def relay(self, message: messages.ItemsMessage) -> None:
+        """Tell every daemon that follows this one what was published."""
+        if self._followers:
+            websockets.broadcast(self._followers, codec.encode(message))
+
     def close(self) -> None:
         """Accept no more daemons and end every link."""
         for server in self._servers:
@@ -82,6 +86,7 @@
             pass
         finally:
             self._listeners.discard(connection)
+            self._followers.discard(connection)
             for task in tuple(tasks_by_id.values()):
                 task.cancel()
 
@@ -101,10 +106,10 @@
                 raise errors.VersionMismatchError(text)
             if message.wants_reports:
                 self._listeners.add(connection)
-        else:
-            answer = self._answer_aside(message)
-            if answer is not None:
-                asyncio.create_task(self._send(connection, answer))
+        elif isinstance(message, messages.SubscribeMessage):
+            self._followers.add(connection)
+            known = self._replica.message_since(message.known_revision)
+            asyncio.create_task(self._send(connection, known))
 
     async def _serve_call(self, connection, call: messages.CallMessage) -> None:
         await self._send(connection, await self._gate.serve(call))
--- a/src/savoryhollow/proxy/links.py
+++ b/src/savoryhollow/proxy/links.py
@@ -38,11 +38,15 @@
     """What every link of a process shares.
 
     :param on_report: takes in a load that came unasked.
+    :param on_items: takes in what the platform has published.
+    :param known_revision: returns the revision up to which that is known here.
     """
 
     hello: messages.HelloMessage
     max_message_bytes: int
     on_report: collections.abc.Callable[[str, messages.LoadReport], None]
+    on_items: collections.abc.Callable[[messages.ItemsMessage], None]
+    known_revision: collections.abc.Callable[[], int]
 
 
 class Link:
@@ -62,6 +66,7 @@
         self.port = port
         self.connected = False
         self.failing = False
+        self.followed = False
         self._settings = settings
         self._answers_by_id: dict[str, asyncio.Future[gate.Answer]] = {}
         self._connection: websockets.asyncio.client.ClientConnection | None = None
@@ -96,6 +101,23 @@
         finally:
             self._answers_by_id.pop(message.request_id, None)
 
+    def follow(self) -> None:
+        """Ask the daemon to tell what the platform publishes, from now on."""
+        if self.followed:
+            return
+        self.followed = True
+        connection = self._connection
+        if connection is not None:
+            asyncio.create_task(self._subscribe(connection))
+
+    async def _subscribe(self, connection) -> None:
+        known = self._settings.known_revision()
+        try:
+            await self._send(connection, messages.SubscribeMessage(known))
+        except errors.ChannelClosedError:
+            # Asked again as soon as the link is back.
+            return
+
     async def _wait_for_connection(self):
         try:
             async with asyncio.timeout(LINK_WAIT_S):
@@ -176,6 +198,8 @@
         )
         try:
             await connection.send(codec.encode(settings.hello))
+            if self.followed:
+                await self._subscribe(connection)
             self._heard_at = asyncio.get_running_loop().time()
             self._connection = connection
             self._opened.set()
@@ -193,6 +217,8 @@
         message = codec.decode(data)
         if isinstance(message, messages.ReportMessage):
             self._settings.on_report(self.endpoint_id, message.load)
+        elif isinstance(message, messages.ItemsMessage):
+            self._settings.on_items(message)
         elif isinstance(message, gate.Answer):
             answer = self._answers_by_id.get(message.request_id)
             if answer is not None and not answer.done():
--- /dev/null
+++ b/src/savoryhollow/proxy/relay.py
@@ -0,0 +1,147 @@
+"""What the platform publishes, read by a few daemons and told to the others.
+
+Calls to the platform are dear and limited, so in each region two daemons read it
+and the others follow them. Each daemon knows by itself who reads: those that rank
+first in a hash of the hosts and can be reached. A daemon that hears nothing fresh
+reads for itself.
+
+Pure computation: the caller passes the instant.
+"""
+
+import collections.abc
+import zlib
+
+import xxhash
+
+from savoryhollow.wire import messages
+
+__all__ = ["READERS", "Replica", "pack", "rank_readers", "unpack"]
+
+# Daemons of a region that read the platform.
+READERS = 2
+# Age up to which the word of a reader counts, in s.
+FRESH_S = 1.3
+# How often a daemon reads by itself while its readers can't, in s.
+ALONE_INTERVAL_S = 3.0
+# Removals that are remembered, so that no older entry comes back.
+MAX_REMOVALS = 4096
+
+Item = messages.PublishedItem
+
+
+def rank_readers(hosts: collections.abc.Iterable[str]) -> list[str]:
+    """Return hosts in the order in which they become readers."""
+    return sorted(hosts, key=lambda host: xxhash.xxh64_intdigest(host.encode()))
+
+
+class Replica:
+    """The items known here, and how fresh they are.
+
+    :param on_items: takes in items that are new or changed.
+    :param on_contact: told whether what is known keeps up with the platform.
+    """
+
+    def __init__(
+        self,
+        on_items: collections.abc.Callable[[list[Item]], None],
+        on_contact: collections.abc.Callable[[bool], None],
+    ):
+        self._on_items = on_items
+        self._on_contact = on_contact
+        self._items_by_key: dict[str, Item] = {}
+        self._heard_at = float("-inf")
+        self._reader_alive_at = float("-inf")
+        self._tried_at = float("-inf")
+        self._contact: bool | None = None
+        self.as_of = -1
+        self.in_contact = False
+
+    # -----------------------------------------------------------------------
+    #   Reading for oneself
+    # -----------------------------------------------------------------------
+
+    def take(self, items: list[Item], as_of: int) -> list[Item]:
+        """Take in items; return those that were new."""
+        newer = [one for one in items if self._is_newer(one)]
+        for one in newer:
+            self._items_by_key[one.key] = one
+        self.as_of = max(self.as_of, as_of)
+        self._forget_removals()
+        if newer:
+            self._on_items(newer)
+        return newer
+
+    def take_all(self, items: list[Item], as_of: int) -> list[Item]:
+        """Take in a whole reading: what it doesn't have is gone."""
+        named = {one.key for one in items}
+        gone = [
+            Item(key, as_of, None)
+            for key, known in self._items_by_key.items()
+            if key not in named and known.content is not None
+        ]
+        return self.take(items + gone, as_of)
+
+    def note_own_contact(self, good: bool) -> None:
+        """Note whether the platform answers this daemon."""
+        self.in_contact = good
+        self._note_contact(good)
+
+    def _is_newer(self, item: Item) -> bool:
+        known = self._items_by_key.get(item.key)
+        return known is None or item.revision > known.revision
+
+    def _forget_removals(self) -> None:
+        if len(self._items_by_key) <= MAX_REMOVALS:
+            return
+        removed = [one for one in self._items_by_key.values() if one.content is None]
+        removed.sort(key=lambda one: one.revision)
+        for one in removed[: len(removed) // 2]:
+            del self._items_by_key[one.key]
+
+    # -----------------------------------------------------------------------
+    #   Following
+    # -----------------------------------------------------------------------
+
+    def hear(self, message: messages.ItemsMessage, now: float) -> None:
+        """Take in what a reader tells."""
+        self._reader_alive_at = now
+        self.take(list(message.items), message.as_of)
+        if message.in_contact:
+            self._heard_at = now
+        if message.in_contact or not self.is_fresh(now):
+            self._note_contact(message.in_contact or self.in_contact)
+
+    def is_fresh(self, now: float) -> bool:
+        """Say whether a reader vouches for what is known."""
+        return now - self._heard_at <= FRESH_S
+
+    def may_try(self, now: float) -> bool:
+        """Say whether to read for oneself, though not a reader; counts as a try."""
+        if self.is_fresh(now):
+            return False
+        if now - self._reader_alive_at <= FRESH_S:
+            # The readers live but can't read, so most likely nobody can.
+            if now - self._tried_at < ALONE_INTERVAL_S:
+                return False
+        self._tried_at = now
+        return True
+
+    def message_since(self, revision: int) -> messages.ItemsMessage:
+        """Return what a follower that knows a revision is told."""
+        items = [one for one in self._items_by_key.values() if one.revision > revision]
+        return messages.ItemsMessage(self.as_of, self.in_contact, tuple(items))
+
+    def _note_contact(self, good: bool) -> None:
+        if good is not self._contact:
+            self._contact = good
+            self._on_contact(good)
+
+
+def pack(content: bytes) -> bytes:
+    """Return the content of an item as it travels."""
+    return zlib.compress(content)
+
+
+def unpack(content: bytes) -> bytes:
+    """Return the content of an item that has travelled."""
+    return zlib.decompress(content)
--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -109,7 +109,7 @@
         by_host = {one.host: one for one in self._members.endpoints_by_id.values()}
         for service in self.budgets_by_service:
             for endpoint in self._subset(service):
-                self._link(endpoint)
+                self.link(endpoint)
         for host in tuple(self.links_by_host):
             if host in by_host:
                 self.links_by_host[host].endpoint_id = by_host[host].endpoint_id
@@ -140,7 +140,8 @@
             self._subsets_by_service[service] = subset
         return subset
 
-    def _link(self, endpoint: directory.KnownEndpoint) -> links.Link | None:
+    def link(self, endpoint: directory.KnownEndpoint) -> links.Link | None:
+        """Return the link to a daemon; None for the one of this process."""
         if endpoint.host == self._host:
             return None
         link = self.links_by_host.get(endpoint.host)
@@ -172,7 +173,7 @@
         if endpoint.host == self._host:
             evidence.observe(self._gate.report(), self._clock())
         else:
-            link = self._link(endpoint)
+            link = self.link(endpoint)
             if link is None or link.failing:
                 return None
         return placement.Candidate(endpoint, evidence)
--- a/src/savoryhollow/wire/codec.py
+++ b/src/savoryhollow/wire/codec.py
@@ -29,6 +29,8 @@
     messages.RelayMessage: 10,
     messages.GoAwayMessage: 11,
     messages.ReportMessage: 12,
+    messages.SubscribeMessage: 13,
+    messages.ItemsMessage: 14,
 }
 CLASSES_BY_KIND = {kind: cls for cls, kind in KINDS_BY_CLASS.items()}
 
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -21,10 +21,12 @@
     "DocumentVersion",
     "GoAwayMessage",
     "HelloMessage",
+    "ItemsMessage",
     "LoadReport",
     "Message",
     "NotRunMessage",
     "PROTOCOL_VERSION",
+    "PublishedItem",
     "RelayMessage",
     "ReportMessage",
     "ResolutionMessage",
@@ -32,6 +34,7 @@
     "ResolveMessage",
     "RevisionDelta",
     "ServedMessage",
+    "SubscribeMessage",
     "UnknownMessage",
 ]
 
@@ -155,6 +158,41 @@
     load: LoadReport
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PublishedItem:
+    """One item that the platform publishes, or its removal.
+
+    :param content: packed by zlib; None for a removal.
+    """
+
+    key: str
+    revision: int
+    content: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubscribeMessage:
+    """Asks to be told what the platform publishes.
+
+    :param known_revision: what came later than this isn't known yet.
+    """
+
+    known_revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ItemsMessage:
+    """What the platform has published, in answer to a subscription.
+
+    :param as_of: nothing up to this revision is missing, with what came before.
+    :param in_contact: whether the platform answers the sender.
+    """
+
+    as_of: int
+    in_contact: bool
+    items: tuple[PublishedItem, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CancelMessage:
     """The caller no longer waits for the request."""
@@ -277,4 +315,6 @@
     | RelayMessage
     | GoAwayMessage
     | ReportMessage
+    | SubscribeMessage
+    | ItemsMessage
 )
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,7 @@
 from savoryhollow import errors
 from savoryhollow.membership import table
 from savoryhollow.platform import boot, documents, headers
+from savoryhollow.wire import messages
 
 SOURCES = pathlib.Path(__file__).parent.parent / "src" / "savoryhollow"
 REGIONS = {"east-a": "east", "west-a": "west"}
@@ -116,8 +117,12 @@
     return documents.Change(key, revision, base64.b64encode(data).decode())
 
 
+def published(key, value):
+    return documents.publish(change(key, value))
+
+
 def entry(**changed):
-    return change("servers/i-7", ENTRY | changed)
+    return published("servers/i-7", ENTRY | changed)
 
 
 def decode(item, now=100.0):
@@ -156,7 +161,7 @@
 
 
 def test_the_configuration_becomes_a_table_of_routes():
-    found = documents.decode_table(change("op/config", CONFIGURATION))
+    found = documents.decode_table(published("op/config", CONFIGURATION))
     order, lookup = found.routes
     assert (found.version, order.host, order.idempotent) == (7, "one.example", False)
     assert (order.objective_s, order.timeout_s, order.max_attempts) == (0.5, 1.5, 2)
@@ -188,9 +193,10 @@
         entry(address="nine"),
         entry(slots="many"),
         entry(service=""),
-        change("servers/i-7", b"\xff\x00"),
-        change("servers/i-7", {"service": "dispatch"}),
-        documents.Change("servers/i-7", 5, "not base64!"),
+        published("servers/i-7", b"\xff\x00"),
+        published("servers/i-7", {"service": "dispatch"}),
+        documents.publish(documents.Change("servers/i-7", 5, "not base64!")),
+        messages.PublishedItem("servers/i-7", 5, b"not packed"),
     ],
 )
 def test_entries_of_other_writers_name_no_endpoint(item):
@@ -200,18 +206,16 @@
 
 @hypothesis.given(strategies.binary(max_size=200))
 def test_any_bytes_are_decoded_or_rejected(data):
-    for parse in (
-        decode,
-        documents.decode_table,
-        lambda item: documents.decode_page(item.content),
-        lambda item: documents.decode_changes(item.content),
-    ):
+    for parse in (decode, documents.decode_table):
+        with pytest.raises(errors.StoreError):
+            parse(published("servers/i-7", data))
+    for parse in (documents.decode_page, documents.decode_changes):
         with pytest.raises(errors.StoreError):
-            parse(change("servers/i-7", data))
+            parse(data)
 
 
 @hypothesis.given(strategies.integers(0, len(json.dumps(CONFIGURATION)) - 1))
 def test_a_configuration_that_is_cut_short_is_rejected(length):
     text = json.dumps(CONFIGURATION).encode()[:length]
     with pytest.raises(errors.StoreError):
-        documents.decode_table(change("op/config", text))
+        documents.decode_table(published("op/config", text))
