--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,337 @@
+"""The gate and the router on an event loop, with fakes in place of sockets."""
+
+import asyncio
+import dataclasses
+
+from savoryhollow import calls, errors
+from savoryhollow.http1 import messages as http
+from savoryhollow.membership import directory, table
+from savoryhollow.proxy import gate as gate_module
+from savoryhollow.proxy import router as router_module
+from savoryhollow.proxy import running
+from savoryhollow.routing import nearby, placement
+from savoryhollow.wire import messages
+
+RULES = router_module.RetryRules(ratio=0.2, slack=100.0, window_s=10.0)
+OK = http.Response(200, (), b"ok")
+SPOILT = running.RunResult(detail="cut short")
+
+
+def play(main):
+    async def limited():
+        async with asyncio.timeout(20):
+            return await main()
+
+    return asyncio.run(limited())
+
+
+def clock():
+    return asyncio.get_running_loop().time()
+
+
+class Runner:
+    """A backend server that does as told; it counts what reaches it."""
+
+    def __init__(self, result=None):
+        self.result = running.RunResult(OK) if result is None else result
+        self.load = None
+        self.load_at = float("-inf")
+        self.started = []
+        self.ended = []
+        self.release = asyncio.Event()
+
+    async def refresh(self, max_age_s):
+        return
+
+    async def run(self, call, deadline):
+        self.started.append(call)
+        try:
+            await self.release.wait()
+        finally:
+            self.ended.append(call)
+        return self.result
+
+
+def gate_of(runner, slots=1, identify=lambda service: None):
+    gate = gate_module.Gate(runner, clock, identify)
+    gate.queue.resize(slots, 0)
+    return gate
+
+
+def message(name="r1", **changed):
+    figures = {
+        "remaining_us": 5_000_000,
+        "idempotent": True,
+        "depth": 0,
+        "attempts_left": 2,
+        "objective_us": 1_000_000,
+    }
+    texts = dict.fromkeys(("service", "rank", "caller", "method", "path"), "x")
+    every = {"request_id": name, "headers": (), "body": b""} | texts | figures
+    return messages.CallMessage(**(every | changed))
+
+
+async def settle():
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+# ---------------------------------------------------------------------------
+#   The gate
+# ---------------------------------------------------------------------------
+
+
+def test_a_cancelled_request_that_waits_never_reaches_the_backend_server():
+    async def main():
+        runner = Runner()
+        gate = gate_of(runner)
+        first = asyncio.create_task(gate.serve(message("r1")))
+        second = asyncio.create_task(gate.serve(message("r2")))
+        await settle()
+        second.cancel()
+        await settle()
+        runner.release.set()
+        assert isinstance(await first, messages.ServedMessage)
+        assert [call.request_id for call in runner.started] == ["r1"]
+        assert gate.queue.busy == 0 and not gate.queue.waiting
+
+    play(main)
+
+
+def test_cancelling_a_request_that_runs_ends_it_and_frees_its_slot():
+    async def main():
+        runner = Runner()
+        gate = gate_of(runner)
+        task = asyncio.create_task(gate.serve(message()))
+        await settle()
+        task.cancel()
+        await settle()
+        assert len(runner.ended) == 1
+        assert gate.queue.busy == 0
+
+    play(main)
+
+
+def test_a_gate_that_leaves_refuses_what_waits_and_finishes_what_runs():
+    async def main():
+        runner = Runner()
+        gate = gate_of(runner)
+        running_now = asyncio.create_task(gate.serve(message("r1")))
+        waiting = asyncio.create_task(gate.serve(message("r2")))
+        await settle()
+        gate.leave()
+        refused = await waiting
+        assert refused.reason is calls.NotRunReason.LEAVING
+        runner.release.set()
+        assert isinstance(await running_now, messages.ServedMessage)
+        assert len(runner.started) == 1
+
+    play(main)
+
+
+def test_a_spoilt_answer_is_unknown_and_a_rejection_is_not_run():
+    async def main():
+        for result, cls in (
+            (SPOILT, messages.UnknownMessage),
+            (
+                running.RunResult(reason=calls.NotRunReason.REJECTED),
+                messages.NotRunMessage,
+            ),
+        ):
+            runner = Runner(result)
+            runner.release.set()
+            assert isinstance(await gate_of(runner).serve(message()), cls)
+
+    play(main)
+
+
+def test_a_request_runs_under_the_id_that_the_endpoint_has_now():
+    async def main():
+        runner = Runner()
+        runner.release.set()
+        gate = gate_of(runner, identify=lambda service: "new")
+        await gate.serve(message(expected_endpoint="old"))
+        assert runner.started[0].expected_endpoint == "new"
+
+    play(main)
+
+
+def test_an_impatient_request_is_bounced_in_a_slow_spell():
+    async def main():
+        runner = Runner()
+        gate = gate_of(runner)
+        gate.queue.busy += 1
+        gate.queue.release("x", 0.4)
+        gate.queue.note_pace(1.0, clock())
+        gate.queue.note_pace(4.0, clock())
+        refused = await gate.serve(message(patient=False))
+        assert refused.reason is calls.NotRunReason.SLOW
+        assert refused.load.spell_us > 0
+        assert runner.started == []
+
+    play(main)
+
+
+# ---------------------------------------------------------------------------
+#   The router
+# ---------------------------------------------------------------------------
+
+
+class Link:
+    """A peer whose answers are scripted; the last one repeats."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+        self.failing = False
+        self.busy = False
+
+    async def call(self, sent):
+        self.calls.append(sent)
+        answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+        if isinstance(answer, Exception):
+            raise answer
+        return dataclasses.replace(answer, request_id=sent.request_id)
+
+
+LOAD = messages.LoadReport(0, 0, 7, 100_000, False)
+SERVED = messages.ServedMessage("", 200, (), b"ok", LOAD)
+FAILED = messages.ServedMessage("", 500, (), b"no", LOAD)
+LOST = errors.ChannelClosedError("the link ended; see to the peer")
+UNREACHABLE = errors.PeerUnreachableError("no link; see to the peer")
+
+
+def refused(reason):
+    return messages.NotRunMessage("", reason, 80, LOAD)
+
+
+def router_of(*links):
+    members = directory.Directory()
+    for number, _ in enumerate(links):
+        host = f"10.0.0.{number}"
+        state = table.EndpointState.LIVE
+        members.put(
+            directory.KnownEndpoint(
+                f"e{number}", "dispatch", "east", "east-a", host, 7, state, 9
+            )
+        )
+    vantage = placement.Vantage("", "east", "east-a")
+
+    class First(nearby.NearbyPolicy):
+        def _best(self, pool, need):
+            if not pool:
+                return None
+            first = min(pool, key=lambda one: one.endpoint.endpoint_id)
+            return nearby.Placed(first, 0.0, 0.0, len(pool))
+
+    return router_module.Router(
+        vantage,
+        "10.9.9.9",
+        members,
+        gate_of(Runner()),
+        First(vantage, None),
+        RULES,
+        lambda endpoint: links[int(endpoint.endpoint_id[1:])],
+        clock,
+    )
+
+
+def call(idempotent=True, wait_s=5.0):
+    now = clock()
+    return calls.Call(
+        "r1",
+        "dispatch",
+        "lookup",
+        "",
+        now + wait_s,
+        idempotent,
+        0,
+        2,
+        "GET",
+        "/",
+        (),
+        b"",
+        1,
+        now + 0.6,
+    )
+
+
+def outcome_of(*links, idempotent=True, max_attempts=2):
+    async def main():
+        return await router_of(*links).route(call(idempotent), max_attempts)
+
+    return play(main)
+
+
+def test_a_request_that_may_have_run_is_never_repeated_unless_idempotent():
+    first, second = Link(LOST), Link(SERVED)
+    outcome = outcome_of(first, second, idempotent=False)
+    assert isinstance(outcome, calls.Unknown)
+    assert second.calls == []
+
+
+def test_an_idempotent_request_is_repeated_after_a_loss():
+    first, second = Link(LOST), Link(SERVED)
+    assert isinstance(outcome_of(first, second), calls.Served)
+    assert len(first.calls) == len(second.calls) == 1
+
+
+def test_no_request_is_sent_to_more_endpoints_than_its_route_allows():
+    links = [Link(LOST), Link(LOST), Link(SERVED)]
+    assert isinstance(outcome_of(*links, max_attempts=2), calls.Unknown)
+    assert links[2].calls == []
+
+
+def test_a_refusal_by_a_gate_goes_on_to_the_next_and_costs_no_attempt():
+    refusal = refused(calls.NotRunReason.DEADLINE)
+    links = [Link(refusal), Link(refusal), Link(SERVED)]
+    outcome = outcome_of(*links, idempotent=False, max_attempts=1)
+    assert isinstance(outcome, calls.Served)
+
+
+def test_a_rejection_by_the_backend_server_counts_as_an_attempt():
+    rejection = refused(calls.NotRunReason.REJECTED)
+    first, second = Link(rejection), Link(SERVED)
+    outcome = outcome_of(first, second, idempotent=False, max_attempts=1)
+    assert isinstance(outcome, calls.NotRun)
+    assert second.calls == []
+
+
+def test_not_run_is_only_told_where_every_attempt_proved_it():
+    rejection = refused(calls.NotRunReason.REJECTED)
+    assert isinstance(outcome_of(Link(LOST), Link(rejection)), calls.Unknown)
+    assert isinstance(outcome_of(Link(rejection), Link(UNREACHABLE)), calls.NotRun)
+
+
+def test_an_answer_of_failure_is_passed_on_unless_another_is_better():
+    outcome = outcome_of(Link(FAILED), Link(SERVED))
+    assert outcome.status == 200
+    outcome = outcome_of(Link(FAILED), Link(LOST))
+    assert outcome.status == 500
+    assert outcome_of(Link(FAILED), Link(SERVED), idempotent=False).status == 500
+
+
+def test_slow_spells_everywhere_make_a_request_wait_instead_of_failing():
+    slow = refused(calls.NotRunReason.SLOW)
+    links = [Link(slow, SERVED), Link(slow, SERVED)]
+    assert isinstance(outcome_of(*links), calls.Served)
+    sent = [one.patient for link in links for one in link.calls]
+    assert sorted(sent) == [False, False, True]
+
+
+def test_without_endpoints_a_request_is_refused_at_once():
+    outcome = outcome_of()
+    assert outcome.reason is calls.NotRunReason.NO_ENDPOINT
+    assert outcome.retry_after_ms > 0
+
+
+def test_repeats_stop_when_the_budget_is_spent():
+    async def main():
+        router = router_of(Link(LOST), Link(SERVED))
+        router.expect(["dispatch"])
+        budget = router.budgets_by_service["dispatch"]
+        while budget.take(clock(), 2):
+            pass
+        return await router.route(call(), 2)
+
+    assert isinstance(play(main), calls.Unknown)
--- /dev/null
+++ b/tests/test_relay_items.py
@@ -0,0 +1,128 @@
+"""What the platform publishes, told by few readers to many followers."""
+
+import hypothesis
+from hypothesis import strategies
+
+from savoryhollow.proxy import relay
+from savoryhollow.wire import messages
+
+
+def item(key, revision, content=b"x"):
+    return messages.PublishedItem(key, revision, content)
+
+
+class Follower:
+    def __init__(self):
+        self.items_by_key = {}
+        self.contacts = []
+        self.replica = relay.Replica(self.take, self.contacts.append)
+
+    def take(self, items):
+        for one in items:
+            self.items_by_key[one.key] = one
+
+
+def told(as_of, *items, in_contact=True):
+    return messages.ItemsMessage(as_of, in_contact, items)
+
+
+def test_an_older_item_never_takes_the_place_of_a_newer_one():
+    follower = Follower()
+    follower.replica.hear(told(9, item("a", 9, b"new")), 0.0)
+    follower.replica.hear(told(5, item("a", 5, b"old")), 0.1)
+    assert follower.items_by_key["a"].content == b"new"
+    assert follower.replica.as_of == 9
+
+
+def test_what_was_removed_does_not_come_back_from_a_reader_that_lags():
+    follower = Follower()
+    follower.replica.hear(told(4, item("a", 4)), 0.0)
+    follower.replica.hear(told(6, item("a", 6, None)), 0.1)
+    follower.replica.hear(told(4, item("a", 4)), 0.2)
+    assert follower.items_by_key["a"].content is None
+
+
+def test_a_whole_reading_removes_what_it_does_not_have():
+    follower = Follower()
+    follower.replica.take_all([item("a", 1), item("b", 2)], 2)
+    follower.replica.take_all([item("b", 2)], 5)
+    assert follower.items_by_key["a"].content is None
+    assert follower.items_by_key["b"].content == b"x"
+
+
+def test_a_whole_reading_that_is_older_removes_nothing_newer():
+    follower = Follower()
+    follower.replica.take_all([item("a", 7)], 7)
+    follower.replica.take_all([], 5)
+    assert follower.items_by_key["a"].content == b"x"
+
+
+def test_a_follower_is_told_only_what_it_does_not_know():
+    reader = Follower().replica
+    reader.take([item("a", 1), item("b", 2), item("c", 3, None)], 4)
+    message = reader.message_since(1)
+    assert [one.key for one in message.items] == ["b", "c"]
+    assert message.as_of == 4
+
+
+def test_a_follower_reads_for_itself_when_its_readers_fall_silent():
+    replica = Follower().replica
+    replica.hear(told(1), 0.0)
+    assert not replica.may_try(relay.FRESH_S)
+    assert replica.may_try(relay.FRESH_S + 0.1)
+
+
+def test_while_readers_live_but_can_not_read_followers_ask_seldom():
+    """The platform is down: followers don't all ask it at once, and again."""
+    replica = Follower().replica
+    tries, now = 0, 10.0
+    for _ in range(100):
+        now += 0.1
+        replica.hear(told(1, in_contact=False), now)
+        tries += replica.may_try(now)
+    assert 3 <= tries <= 4
+
+
+def test_contact_is_lost_and_regained_with_the_readers():
+    follower = Follower()
+    follower.replica.hear(told(1), 0.0)
+    follower.replica.hear(told(1, in_contact=False), 0.5)
+    assert follower.contacts == [True]
+    follower.replica.hear(told(1, in_contact=False), 2.0)
+    follower.replica.hear(told(2), 5.0)
+    assert follower.contacts == [True, False, True]
+
+
+def test_the_next_in_rank_reads_when_a_reader_is_gone():
+    hosts = [f"10.0.0.{i}" for i in range(20)]
+    ranked = relay.rank_readers(hosts)
+    assert relay.rank_readers(reversed(hosts)) == ranked
+    left = [host for host in hosts if host != ranked[0]]
+    assert relay.rank_readers(left)[:2] == ranked[1:3]
+
+
+def test_content_travels_packed_and_comes_back():
+    content = b'{"prefix": "/a/"}' * 100
+    assert len(relay.pack(content)) < len(content) / 5
+    assert relay.unpack(relay.pack(content)) == content
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.sampled_from("abc"), strategies.booleans()),
+        max_size=30,
+    ),
+    strategies.randoms(use_true_random=False),
+)
+def test_any_order_of_delivery_ends_in_the_newest_of_each_item(changes, rng):
+    items = [
+        item(key, revision, None if removed else str(revision).encode())
+        for revision, (key, removed) in enumerate(changes, 1)
+    ]
+    newest = {one.key: one for one in items}
+    follower = Follower()
+    delivered = items + items
+    rng.shuffle(delivered)
+    for one in delivered:
+        follower.replica.hear(told(one.revision, one), 0.0)
+    assert follower.items_by_key == newest
