Leave no gap in what followers are told, and read exactly after a lost history

After a 410 the store was read with leave to be stale, which lags 3 s, and the watch from there met 410 again. What one reader heard from another raised the revision that it told, without the items.

Ruled out: a reader's watch that hung (two read independently).

Change: only the first reading of a process may be stale; each message names the revision after which it is whole, what was heard is told on, and a follower with a gap asks again.

--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -70,18 +70,19 @@
     async def _read(self) -> None:
         # A read tells sooner than a watch whether the store is back.
         known = self._replica.as_of
-        if known < 0 or self._in_contact is False or not await self._watch(known):
-            await self._read_all()
+        if known < 0:
+            # What is a little old is made good by the watch that follows.
+            await self._read_all({"stale_ok": "1"})
+        elif self._in_contact is False or not await self._watch(known):
+            await self._read_all({})
         self._answer_limit_s = FIRST_ANSWER_LIMIT_S
 
-    async def _read_all(self) -> None:
+    async def _read_all(self, options: dict[str, str]) -> None:
         items: list[documents.Change] = []
         as_of: int | None = None
         after = ""
         while True:
-            # What is a little old is made good by the watch that follows.
-            query = {"prefix": "", "stale_ok": "1"}
-            query |= {"after": after} if after else {}
+            query = {"prefix": ""} | options | ({"after": after} if after else {})
             page = documents.decode_page(await self._get("kv-range", query))
             # Pages are no snapshot: what changed meanwhile is watched from the first.
             as_of = page.as_of if as_of is None else min(as_of, page.as_of)
@@ -90,8 +91,8 @@
                 break
             after = page.items[-1].key
         self._note_contact(True)
-        newer = self._replica.take_all([documents.publish(one) for one in items], as_of)
-        self._agent.tell_followers(newer)
+        self._replica.take_all([documents.publish(one) for one in items], as_of)
+        self._agent.tell_followers()
 
     async def _watch(self, revision: int) -> bool:
         """Take in what changes; return False where that history is gone."""
@@ -102,9 +103,9 @@
         self._note_contact(True)
         changes = documents.decode_changes(body)
         items = [documents.publish(change) for change in changes.events]
-        newer = self._replica.take(items, changes.as_of)
-        self._agent.tell_followers(newer)
-        if newer:
+        self._replica.take(items, changes.as_of)
+        self._agent.tell_followers()
+        if items:
             # Changes come in bursts; each call is dear.
             await asyncio.sleep(GATHER_S)
         return True
@@ -142,4 +143,4 @@
             events.emit(events.Event.STORE_REGAINED)
         else:
             events.emit(events.Event.STORE_UNREACHABLE, detail=detail)
-            self._agent.tell_followers([])
+            self._agent.tell_followers()
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -278,11 +278,9 @@
         """Whether this daemon is one of those that read for their region."""
         return self.settings.backend.host in self._reader_hosts()
 
-    def tell_followers(self, items: list[messages.PublishedItem]) -> None:
-        """Tell the daemons that follow this one what was read."""
-        replica = self.replica
-        message = messages.ItemsMessage(replica.as_of, replica.in_contact, tuple(items))
-        self._inner.relay(message)
+    def tell_followers(self) -> None:
+        """Tell the daemons that follow this one what is new here, and that it lives."""
+        self._inner.relay(self.replica.news())
 
     def _reader_hosts(self) -> list[str]:
         hosts = {self.settings.backend.host}
@@ -296,7 +294,7 @@
     async def _keep_following(self) -> None:
         while True:
             if self.reads_platform:
-                self.tell_followers([])
+                self.tell_followers()
             self._follow_readers()
             await asyncio.sleep(RELAY_INTERVAL_S)
 
--- a/src/savoryhollow/proxy/links.py
+++ b/src/savoryhollow/proxy/links.py
@@ -38,14 +38,15 @@
     """What every link of a process shares.
 
     :param on_report: takes in a load that came unasked.
-    :param on_items: takes in what the platform has published.
+    :param on_items: takes in what the platform has published; returns whether
+        nothing is missing before it.
     :param known_revision: returns the revision up to which that is known here.
     """
 
     hello: messages.HelloMessage
     max_message_bytes: int
     on_report: collections.abc.Callable[[str, messages.LoadReport], None]
-    on_items: collections.abc.Callable[[messages.ItemsMessage], None]
+    on_items: collections.abc.Callable[[messages.ItemsMessage], bool]
     known_revision: collections.abc.Callable[[], int]
 
 
@@ -218,7 +219,8 @@
         if isinstance(message, messages.ReportMessage):
             self._settings.on_report(self.endpoint_id, message.load)
         elif isinstance(message, messages.ItemsMessage):
-            self._settings.on_items(message)
+            if not self._settings.on_items(message) and self._connection is not None:
+                asyncio.create_task(self._subscribe(self._connection))
         elif isinstance(message, gate.Answer):
             answer = self._answers_by_id.get(message.request_id)
             if answer is not None and not answer.done():
--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -53,6 +53,7 @@
         self._reader_alive_at = float("-inf")
         self._tried_at = float("-inf")
         self._contact: bool | None = None
+        self._told = -1
         self.as_of = -1
         self.in_contact = False
 
@@ -60,8 +61,11 @@
     #   Reading for oneself
     # -----------------------------------------------------------------------
 
-    def take(self, items: list[Item], as_of: int) -> list[Item]:
-        """Take in items; return those that were new."""
+    def take(self, items: list[Item], as_of: int) -> None:
+        """Take in items.
+
+        :param as_of: nothing up to this revision is missing, with what is known.
+        """
         newer = [one for one in items if self._is_newer(one)]
         for one in newer:
             self._items_by_key[one.key] = one
@@ -69,9 +73,8 @@
         self._forget_removals()
         if newer:
             self._on_items(newer)
-        return newer
 
-    def take_all(self, items: list[Item], as_of: int) -> list[Item]:
+    def take_all(self, items: list[Item], as_of: int) -> None:
         """Take in a whole reading: what it doesn't have is gone."""
         named = {one.key for one in items}
         gone = [
@@ -79,7 +82,7 @@
             for key, known in self._items_by_key.items()
             if key not in named and known.content is not None
         ]
-        return self.take(items + gone, as_of)
+        self.take(items + gone, as_of)
 
     def note_own_contact(self, good: bool) -> None:
         """Note whether the platform answers this daemon."""
@@ -102,14 +105,20 @@
     #   Following
     # -----------------------------------------------------------------------
 
-    def hear(self, message: messages.ItemsMessage, now: float) -> None:
-        """Take in what a reader tells."""
+    def hear(self, message: messages.ItemsMessage, now: float) -> bool:
+        """Take in what a reader tells.
+
+        :returns: whether nothing is missing before it; else ask the reader for
+            what came since the revision that is known.
+        """
         self._reader_alive_at = now
-        self.take(list(message.items), message.as_of)
+        whole = message.since <= self.as_of
+        self.take(list(message.items), message.as_of if whole else self.as_of)
         if message.in_contact:
             self._heard_at = now
         if message.in_contact or not self.is_fresh(now):
             self._note_contact(message.in_contact or self.in_contact)
+        return whole
 
     def is_fresh(self, now: float) -> bool:
         """Say whether a reader vouches for what is known."""
@@ -129,7 +138,15 @@
     def message_since(self, revision: int) -> messages.ItemsMessage:
         """Return what a follower that knows a revision is told."""
         items = [one for one in self._items_by_key.values() if one.revision > revision]
-        return messages.ItemsMessage(self.as_of, self.in_contact, tuple(items))
+        return messages.ItemsMessage(
+            revision, self.as_of, self.in_contact, tuple(items)
+        )
+
+    def news(self) -> messages.ItemsMessage:
+        """Return what followers haven't been told yet; they count as told then."""
+        message = self.message_since(self._told)
+        self._told = self.as_of
+        return message
 
     def _note_contact(self, good: bool) -> None:
         if good is not self._contact:
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -184,10 +184,12 @@
 class ItemsMessage:
     """What the platform has published, in answer to a subscription.
 
-    :param as_of: nothing up to this revision is missing, with what came before.
+    :param since: the items are all that came later than this revision,
+    :param as_of: and not later than this one.
     :param in_contact: whether the platform answers the sender.
     """
 
+    since: int
     as_of: int
     in_contact: bool
     items: tuple[PublishedItem, ...]
--- a/tests/test_relay_items.py
+++ b/tests/test_relay_items.py
@@ -22,8 +22,8 @@
             self.items_by_key[one.key] = one
 
 
-def told(as_of, *items, in_contact=True):
-    return messages.ItemsMessage(as_of, in_contact, items)
+def told(as_of, *items, in_contact=True, since=-1):
+    return messages.ItemsMessage(since, as_of, in_contact, items)
 
 
 def test_an_older_item_never_takes_the_place_of_a_newer_one():
@@ -65,6 +65,31 @@
     assert message.as_of == 4
 
 
+def test_what_a_reader_heard_from_another_is_told_on():
+    first, second, follower = Follower().replica, Follower().replica, Follower()
+    for one in (first, second):
+        one.take([item("a", 1)], 1)
+        follower.replica.hear(one.news(), 0.0)
+    first.take([item("a", 2, b"leaving")], 2)
+    second.hear(first.news(), 0.1)
+    # The follower has lost its link to the first reader.
+    second.take([item("a", 2, b"leaving")], 2)
+    follower.replica.hear(second.news(), 0.2)
+    assert follower.items_by_key["a"].content == b"leaving"
+
+
+def test_a_gap_is_noticed_and_filled():
+    reader, follower = Follower().replica, Follower()
+    reader.take([item("a", 1)], 1)
+    assert follower.replica.hear(reader.news(), 0.0)
+    reader.take([item("b", 2)], 2)
+    reader.news()
+    assert not follower.replica.hear(reader.news(), 0.1)
+    assert follower.replica.as_of == 1
+    assert follower.replica.hear(reader.message_since(follower.replica.as_of), 0.2)
+    assert set(follower.items_by_key) == {"a", "b"}
+
+
 def test_a_follower_reads_for_itself_when_its_readers_fall_silent():
     replica = Follower().replica
     replica.hear(told(1), 0.0)
