Take in settings that change, learn from seeds, and show the state

Cause: SIGHUP and a file that changes without a signal were passed over; a daemon that starts while the store refuses it knew no configuration.

Change: the settings file is looked at twice a second and on SIGHUP; a first reading that fails asks the seeds; /dump beside /metrics shows the state. Long-lived tasks are held, as the event loop alone would let them be collected.

--- a/src/savoryhollow/platform/boot.py
+++ b/src/savoryhollow/platform/boot.py
@@ -60,7 +60,6 @@
     store: models.Target
     regions_by_zone: dict[str, str]
     inner_port: int
-    seeds: list[models.Target]
 
 
 def read(path: pathlib.Path) -> BootSettings:
@@ -101,13 +100,13 @@
         retry_rules=rules,
         stop_limit_s=bounds.get("grace_s", DEFAULT_GRACE_S),
         address_kept_s=bounds.get("addr_reuse_s", 0.0),
+        seeds=tuple(_target(seed) for seed in file.seeds),
     )
     return BootSettings(
         agent=settings,
         store=_target(file.platform.address),
         regions_by_zone=file.zones,
         inner_port=inner[0].port,
-        seeds=[_target(seed) for seed in file.seeds],
     )
 
 
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -17,6 +17,8 @@
 __all__ = ["run"]
 
 SETTINGS_VARIABLE = "SAVORYHOLLOW_BOOT"
+# How often the settings file is looked at, in s.
+SETTINGS_INTERVAL_S = 0.5
 DEFAULT_PATH = "/etc/savoryhollow/local.toml"
 
 
@@ -82,16 +84,69 @@
             events.emit(events.Event.ENDPOINT_UNREADABLE, detail=str(error))
             return None
 
+    # -----------------------------------------------------------------------
+    #   Settings that change
+    # -----------------------------------------------------------------------
+
+    async def follow_settings(self, path: pathlib.Path, hint: asyncio.Event) -> None:
+        """Take in the settings file whenever it changes, for ever.
+
+        :param path: the file.
+        :param hint: set where it should be looked at once.
+        """
+        seen = _stamp(path)
+        while True:
+            told = await _wait(hint, SETTINGS_INTERVAL_S)
+            stamp = _stamp(path)
+            if told or stamp != seen:
+                seen = stamp
+                await self._reload(path)
+
+    async def _reload(self, path: pathlib.Path) -> None:
+        try:
+            settings = boot.read(path)
+        except errors.SettingsError as error:
+            problems = [str(problem) for problem in error.problems]
+            events.emit(events.Event.SETTINGS_REJECTED, problems=problems)
+            return
+        if settings.store != self._settings.store:
+            self.follower.connect_to(settings.store)
+        self._settings = settings
+        changed = await self.agent.reconfigure(settings.agent)
+        events.emit(events.Event.SETTINGS_RELOADED, changed=changed)
+
+
+def _stamp(path: pathlib.Path) -> tuple[int, int]:
+    try:
+        status = path.stat()
+    except OSError:
+        # It is being replaced; what was read stays until it is there again.
+        return (0, 0)
+    return (status.st_mtime_ns, status.st_size)
+
+
+async def _wait(hint: asyncio.Event, limit_s: float) -> bool:
+    """Wait for a hint; return whether it came within the limit."""
+    try:
+        async with asyncio.timeout(limit_s):
+            await hint.wait()
+    except TimeoutError:
+        return False
+    hint.clear()
+    return True
+
 
-async def _serve(settings: boot.BootSettings) -> bool:
+async def _serve(path: pathlib.Path, settings: boot.BootSettings) -> bool:
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     adapter = Adapter(settings)
     agent = adapter.agent
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    hint = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, hint.set)
     await agent.start()
+    tasks.keep_running("settings", lambda: adapter.follow_settings(path, hint))
     following = tasks.keep_running("follow", adapter.follower.run)
     gc.collect()
     # What is alive now lives as long as the process; keep the collector off it.
@@ -113,7 +168,7 @@
     settings = boot.read(path)
     events.configure(settings.agent.instance, stream=output.LossyStream(1))
     with asyncio.Runner() as runner:
-        drained = runner.run(_serve(settings))
+        drained = runner.run(_serve(path, settings))
         logging.shutdown()
         # Links to peers that don't answer would hold up an ordinary exit.
         os._exit(0 if drained else 1)
--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -59,9 +59,17 @@
                 pause_s = MIN_PAUSE_S
             except errors.SavoryhollowError as error:
                 self._note_contact(False, str(error))
+                if self._replica.as_of < 0:
+                    self._agent.ask_seeds()
                 await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
                 pause_s = min(MAX_PAUSE_S, 2 * pause_s)
 
+    def connect_to(self, target: models.Target) -> None:
+        """Read from another address from now on."""
+        self._pool.close()
+        self._pool = backends.Pool(target.host, target.port)
+        self._host = f"{target.host}:{target.port}"
+
     def _is_due(self) -> bool:
         if self._replica.as_of < 0 or self._agent.reads_platform:
             return True
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -6,6 +6,8 @@
 import random
 import secrets
 
+import msgspec
+
 from savoryhollow import calls
 from savoryhollow.configuration import routes
 from savoryhollow.http1 import backends, callers
@@ -56,6 +58,9 @@
 INCARNATION_BYTES = 8
 # What operators see; a path on the metrics address.
 METRICS_PATH = "/metrics"
+DUMP_PATH = "/dump"
+# Raised whenever a key of the dump changes its meaning or goes away.
+DUMP_VERSION = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +75,7 @@
     :param backend: the backend server beside it.
     :param retry_rules: the budget of repeats.
     :param stop_limit_s: time from the order to stop until the process is killed.
+    :param seeds: inner addresses of some other daemons; they may be out of date.
     :param address_kept_s: time for which the address of a backend server that has
         ended goes to no other.
     """
@@ -86,6 +92,7 @@
     retry_rules: router.RetryRules
     stop_limit_s: float
     address_kept_s: float
+    seeds: tuple[models.Target, ...] = ()
 
 
 class Agent:
@@ -112,6 +119,7 @@
         self._started_at = self._clock()
         self._first_endpoint_id: str | None = None
         self._seen_generation = -1
+        self._seed_links: dict[str, links.Link] = {}
         pool = backends.Pool(settings.backend.host, settings.backend.port)
         self.runner = running.BackendRunner(dialect, pool)
         self.gate = gate_module.Gate(self.runner, self._clock, self.identify)
@@ -133,12 +141,14 @@
         incarnation = secrets.token_hex(INCARNATION_BYTES)
         vantage = placement.Vantage("", settings.region, settings.zone)
 
-        def open_link(endpoint: directory.KnownEndpoint) -> links.Link:
+        def open_link(endpoint_id: str, host: str, port: int) -> links.Link:
+            zones = {one.host: one for one in self.members.endpoints_by_id.values()}
+            near = host in zones and zones[host].region == settings.region
             hello = messages.HelloMessage(
                 messages.PROTOCOL_VERSION,
                 settings.instance,
                 incarnation,
-                wants_reports=endpoint.region == settings.region,
+                wants_reports=near,
             )
             shared = links.LinkSettings(
                 hello,
@@ -147,9 +157,7 @@
                 lambda message: self.replica.hear(message, self._clock()),
                 lambda: self.replica.as_of,
             )
-            return links.Link(
-                endpoint.endpoint_id, endpoint.host, endpoint.port, shared
-            )
+            return links.Link(endpoint_id, host, port, shared)
 
         return router.Router(
             vantage,
@@ -219,6 +227,28 @@
     def _is_working(self) -> bool:
         return self._callers.in_progress > 0 or self.gate.in_progress > 0
 
+    async def reconfigure(self, settings: AgentSettings) -> list[str]:
+        """Take in settings that have changed.
+
+        :returns: the names of those that are in force anew.
+        """
+        before, self.settings = self.settings, settings
+        changed = [
+            field.name
+            for field in dataclasses.fields(settings)
+            if getattr(before, field.name) != getattr(settings, field.name)
+        ]
+        self.front.service = settings.service
+        self.router.limit_repeats(settings.retry_rules)
+        if "backend" in changed:
+            self.runner.connect_to(settings.backend.host, settings.backend.port)
+        if "front" in changed:
+            await self._callers.start(settings.front.host, settings.front.port)
+        if "readiness" in changed:
+            address = settings.readiness
+            await self._readiness.start(address.host, address.port)
+        return changed
+
     # -----------------------------------------------------------------------
     #   What is known
     # -----------------------------------------------------------------------
@@ -282,6 +312,19 @@
         """Tell the daemons that follow this one what is new here, and that it lives."""
         self._inner.relay(self.replica.news())
 
+    def ask_seeds(self) -> None:
+        """Learn from other daemons what the platform doesn't tell this one."""
+        for seed in self.settings.seeds:
+            if seed.host == self.settings.backend.host or seed.host in self._seed_links:
+                continue
+            link = self.router.open_link("", seed.host, seed.port)
+            link.follow()
+            self._seed_links[seed.host] = link
+
+    def _leave_seeds(self) -> None:
+        while self._seed_links:
+            self._seed_links.popitem()[1].close()
+
     def _reader_hosts(self) -> list[str]:
         hosts = {self.settings.backend.host}
         for endpoint in self.members.endpoints_by_id.values():
@@ -296,6 +339,8 @@
             if self.reads_platform:
                 self.tell_followers()
             self._follow_readers()
+            if self.replica.as_of >= 0:
+                self._leave_seeds()
             await asyncio.sleep(RELAY_INTERVAL_S)
 
     def _follow_readers(self) -> None:
@@ -379,15 +424,69 @@
         return http.Response(200 if ready else 503)
 
     async def _answer_metrics(self, request: http.Request) -> http.Response:
-        if request.target.partition("?")[0] != METRICS_PATH:
+        path = request.target.partition("?")[0]
+        if path == DUMP_PATH:
+            return http.Response(200, (), msgspec.json.encode(self.dump()))
+        if path != METRICS_PATH:
             return http.Response(404)
-        queue = self.gate.queue
-        self.counts.set_gauge("slots_busy", "Requests that hold a slot.", queue.busy)
-        waiting = len(queue.waiting)
-        self.counts.set_gauge("queue_waiting", "Requests that wait.", waiting)
-        known = len(self.members.endpoints_by_id)
-        self.counts.set_gauge("known_endpoints", "Endpoints known.", known)
-        opened = self.runner.pool.opened
-        self.counts.set_gauge("backend_connections", "Connections opened.", opened)
+        for name, (text, value) in self._figures().items():
+            self.counts.set_gauge(name, text, value)
         text = calls.Header("Content-Type", "text/plain; version=0.0.4")
         return http.Response(200, (text,), self.counts.render())
+
+    def _figures(self) -> dict[str, tuple[str, float]]:
+        """Return the figures of this moment, with what they mean."""
+        queue = self.gate.queue
+        return {
+            "slots": ("Requests that the gate runs at one time.", queue.slots),
+            "slots_busy": ("Requests that hold a slot.", queue.busy),
+            "queue_waiting": ("Requests that wait.", len(queue.waiting)),
+            "pace": ("How long work takes at this moment; 1 is usual.", queue.pace),
+            "known_endpoints": ("Endpoints known.", len(self.members.endpoints_by_id)),
+            "configuration_version": (
+                "The version in force; -1 before the first.",
+                self.front.table.version if self.front.table is not None else -1,
+            ),
+            "platform_revision": ("What is known of the platform.", self.replica.as_of),
+            "platform_contact": ("Whether it answers.", self.replica.in_contact),
+            "backend_connections": ("Connections opened.", self.runner.pool.opened),
+            "links": ("Links to other daemons.", len(self.router.links_by_host)),
+        }
+
+    def dump(self) -> dict[str, object]:
+        """Return the state of this process, for people."""
+        now = self._clock()
+        return {
+            "version": DUMP_VERSION,
+            "instance": self.settings.instance,
+            "service": self.settings.service,
+            "stopping": self._stopping,
+            "reads_platform": self.reads_platform,
+            "figures": {name: one for name, (_, one) in self._figures().items()},
+            "endpoints_by_id": {
+                endpoint_id: {
+                    "service": one.service,
+                    "host": one.host,
+                    "zone": one.zone,
+                    "state": one.state.value,
+                }
+                for endpoint_id, one in self.members.endpoints_by_id.items()
+            },
+            "evidence_by_id": {
+                endpoint_id: {
+                    "in_flight": one.in_flight,
+                    "trusted": one.trusted,
+                    "failure_share": round(one.failure_share, 3),
+                    "report_age_s": round(min(now - one.reported_at, 1e6), 3),
+                }
+                for endpoint_id, one in self.router.evidence_by_id.items()
+            },
+            "links_by_host": {
+                host: {"connected": one.connected, "failing": one.failing}
+                for host, one in self.router.links_by_host.items()
+            },
+            "repeats_left_by_service": {
+                service: round(budget.left(now, len(self.members.endpoints_by_id)), 2)
+                for service, budget in self.router.budgets_by_service.items()
+            },
+        }
--- a/src/savoryhollow/proxy/inner.py
+++ b/src/savoryhollow/proxy/inner.py
@@ -8,7 +8,7 @@
 from savoryhollow import errors
 from savoryhollow.observe import events
 from savoryhollow.proxy import gate as gate_module
-from savoryhollow.proxy import relay
+from savoryhollow.proxy import relay, tasks
 from savoryhollow.wire import codec, messages
 
 __all__ = ["InnerPort"]
@@ -109,7 +109,7 @@
         elif isinstance(message, messages.SubscribeMessage):
             self._followers.add(connection)
             known = self._replica.message_since(message.known_revision)
-            asyncio.create_task(self._send(connection, known))
+            tasks.spawn(self._send(connection, known))
 
     async def _serve_call(self, connection, call: messages.CallMessage) -> None:
         await self._send(connection, await self._gate.serve(call))
--- a/src/savoryhollow/proxy/links.py
+++ b/src/savoryhollow/proxy/links.py
@@ -13,7 +13,7 @@
 
 from savoryhollow import errors
 from savoryhollow.observe import events
-from savoryhollow.proxy import gate
+from savoryhollow.proxy import gate, tasks
 from savoryhollow.wire import codec, messages
 
 __all__ = ["Link", "LinkSettings"]
@@ -109,7 +109,7 @@
         self.followed = True
         connection = self._connection
         if connection is not None:
-            asyncio.create_task(self._subscribe(connection))
+            tasks.spawn(self._subscribe(connection))
 
     async def _subscribe(self, connection) -> None:
         known = self._settings.known_revision()
@@ -161,7 +161,7 @@
                 # The end of the link cancels the request as well.
                 return
 
-        asyncio.get_running_loop().create_task(send())
+        tasks.spawn(send())
 
     def close(self) -> None:
         """End the link for good."""
@@ -220,7 +220,7 @@
             self._settings.on_report(self.endpoint_id, message.load)
         elif isinstance(message, messages.ItemsMessage):
             if not self._settings.on_items(message) and self._connection is not None:
-                asyncio.create_task(self._subscribe(self._connection))
+                tasks.spawn(self._subscribe(self._connection))
         elif isinstance(message, gate.Answer):
             answer = self._answers_by_id.get(message.request_id)
             if answer is not None and not answer.done():
--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -70,7 +70,7 @@
     :param local_gate: the gate of this process.
     :param policy: chooses among candidates.
     :param retry_rules: how much may be repeated.
-    :param open_link: opens a link to the daemon beside an endpoint.
+    :param open_link: opens a link to a daemon, by its endpoint, host and port.
     :param clock: returns the present instant.
     """
 
@@ -82,7 +82,7 @@
         local_gate: gate_module.Gate,
         policy: nearby.NearbyPolicy,
         retry_rules: RetryRules,
-        open_link: collections.abc.Callable[[directory.KnownEndpoint], links.Link],
+        open_link: collections.abc.Callable[[str, str, int], links.Link],
         clock: collections.abc.Callable[[], float],
     ):
         self._vantage = vantage
@@ -91,7 +91,7 @@
         self._gate = local_gate
         self._policy = policy
         self._retry_rules = retry_rules
-        self._open_link = open_link
+        self.open_link = open_link
         self._clock = clock
         self._numbers = itertools.count(1)
         self.links_by_host: dict[str, links.Link] = {}
@@ -125,6 +125,14 @@
             self._budget(service)
         self.meet()
 
+    def limit_repeats(self, rules: RetryRules) -> None:
+        """Put rules for repeats in force; what was spent stays spent."""
+        self._retry_rules = rules
+        for budget in self.budgets_by_service.values():
+            budget.ratio = rules.ratio
+            budget.slack = rules.slack
+            budget.window_s = rules.window_s
+
     def check_links(self) -> None:
         """Look for links that went silent."""
         now = self._clock()
@@ -146,7 +154,7 @@
             return None
         link = self.links_by_host.get(endpoint.host)
         if link is None:
-            link = self._open_link(endpoint)
+            link = self.open_link(endpoint.endpoint_id, endpoint.host, endpoint.port)
             self.links_by_host[endpoint.host] = link
         return link
 
--- a/src/savoryhollow/proxy/running.py
+++ b/src/savoryhollow/proxy/running.py
@@ -114,6 +114,12 @@
         self.pool.release(connection)
         return self._judge(response)
 
+    def connect_to(self, host: str, port: int) -> None:
+        """Send to another address from now on; what runs goes on."""
+        self.pool.close()
+        self.pool = backends.Pool(host, port, clock=self.pool.clock)
+        self.endpoint_id = None
+
     async def refresh(self, max_age_s: float) -> None:
         """Learn the load again where it is old, without waiting for long.
 
--- a/src/savoryhollow/proxy/tasks.py
+++ b/src/savoryhollow/proxy/tasks.py
@@ -5,7 +5,10 @@
 
 from savoryhollow.observe import events
 
-__all__ = ["keep_running"]
+__all__ = ["keep_running", "spawn"]
+
+# The event loop alone would let a task that nobody holds be collected.
+_running: set[asyncio.Task] = set()
 
 # Pause before a task that failed is started again, in s.
 RESTART_PAUSE_S = 0.3
@@ -28,7 +31,15 @@
                 _report(name, error)
             await asyncio.sleep(RESTART_PAUSE_S)
 
-    return asyncio.create_task(run(), name=name)
+    return spawn(run())
+
+
+def spawn(work: collections.abc.Coroutine[None, None, None]) -> asyncio.Task[None]:
+    """Start a task and hold it until it ends."""
+    task = asyncio.create_task(work)
+    _running.add(task)
+    task.add_done_callback(_running.discard)
+    return task
 
 
 def _report(name: str, error: Exception) -> None:
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,139 @@
+"""Whole daemons on loopback: readiness, seeds, settings that change, stops."""
+
+import asyncio
+import dataclasses
+import json
+
+from savoryhollow.configuration import routes
+from savoryhollow.http1 import backends, callers
+from savoryhollow.http1 import messages as http
+from savoryhollow.platform import headers
+from savoryhollow.proxy import agent as agent_module
+from savoryhollow.proxy import router
+from savoryhollow.settings import models
+from savoryhollow.wire import messages
+
+HOST = "127.0.0.1"
+ANY = models.Address(HOST, 0)
+TABLE = routes.RouteTable(3, routes.CallerLimits(9000, 9000, 3.0, 15.0), ())
+
+
+def settings(**changed):
+    every = {
+        "instance": "one",
+        "service": "dispatch",
+        "region": "east",
+        "zone": "east-a",
+        "front": ANY,
+        "inner": (ANY,),
+        "readiness": ANY,
+        "metrics": ANY,
+        "backend": models.Target("10.9.9.9", 9),
+        "retry_rules": router.RetryRules(0.2, 10.0, 10.0),
+        "stop_limit_s": 6.0,
+        "address_kept_s": 0.0,
+    }
+    return agent_module.AgentSettings(**(every | changed))
+
+
+def play(main):
+    async def limited():
+        async with asyncio.timeout(30):
+            return await main()
+
+    return asyncio.run(limited())
+
+
+def agent_of(on_items=lambda items: None, **changed):
+    return agent_module.Agent(settings(**changed), headers.DIALECT, on_items)
+
+
+def port_of(server):
+    assert isinstance(server, callers.Server)
+    return server._server.sockets[0].getsockname()[1]
+
+
+async def ask(port, target):
+    connection = await backends.open_connection(HOST, port)
+    request = http.Request("GET", target, (), b"")
+    return await connection.exchange(http.render_request(request))
+
+
+def test_a_daemon_is_ready_once_it_knows_a_configuration():
+    async def main():
+        agent = agent_of()
+        await agent.start()
+        path = headers.DIALECT.readiness_path
+        assert (await ask(port_of(agent._readiness), path)).status == 503
+        assert agent.configure(TABLE)
+        assert (await ask(port_of(agent._readiness), path)).status == 200
+
+    play(main)
+
+
+def test_without_a_configuration_callers_are_told_to_come_again_and_never_404():
+    async def main():
+        agent = agent_of()
+        await agent.start()
+        answer = await ask(port_of(agent._callers), "/a/")
+        assert answer.status == 503
+        assert float(http.find(answer.headers, "Retry-After")) > 0
+        agent.configure(TABLE)
+        assert (await ask(port_of(agent._callers), "/a/")).status == 404
+
+    play(main)
+
+
+def test_an_older_configuration_never_comes_back():
+    async def main():
+        agent = agent_of()
+        assert agent.configure(TABLE)
+        assert not agent.configure(dataclasses.replace(TABLE, version=2))
+        assert not agent.configure(TABLE)
+        assert agent.front.table.version == 3
+
+    play(main)
+
+
+def test_a_daemon_that_the_platform_refuses_learns_from_a_seed():
+    async def main():
+        seed = agent_of()
+        await seed.start()
+        seed.replica.take([messages.PublishedItem("a", 4, b"x")], 4)
+        port = seed._inner._servers[0].sockets[0].getsockname()[1]
+        learned = []
+        agent = agent_of(
+            learned.extend, seeds=(models.Target(HOST, port),), instance="two"
+        )
+        agent.ask_seeds()
+        while not learned:
+            await asyncio.sleep(0.001)
+        assert (learned[0].key, agent.replica.as_of) == ("a", 4)
+
+    play(main)
+
+
+def test_settings_that_change_are_in_force_at_once():
+    async def main():
+        agent = agent_of()
+        newer = settings(service="records", backend=models.Target("10.9.9.8", 9))
+        assert await agent.reconfigure(newer) == ["service", "backend"]
+        assert agent.front.service == "records"
+        assert agent.runner.pool.host == "10.9.9.8"
+
+    play(main)
+
+
+def test_metrics_and_the_state_are_told_on_the_metrics_address():
+    async def main():
+        agent = agent_of()
+        await agent.start()
+        agent.configure(TABLE)
+        agent.counts.end("r", 200, 0.1)
+        page = (await ask(port_of(agent._metrics), "/metrics")).body.decode()
+        assert "savoryhollow_answer_seconds_bucket" in page
+        assert "savoryhollow_configuration_version 3" in page
+        dump = json.loads((await ask(port_of(agent._metrics), "/dump")).body)
+        assert dump["figures"]["configuration_version"] == 3
+
+    play(main)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -146,7 +146,7 @@
     assert settings.agent.inner[0].port == settings.inner_port == 8146
     assert settings.agent.backend.port == 8145
     assert settings.agent.retry_rules.slack == 58
-    assert settings.seeds[0].host == "10.1.0.9"
+    assert settings.agent.seeds[0].host == "10.1.0.9"
 
 
 @pytest.mark.parametrize(
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -231,7 +231,7 @@
         gate_of(Runner()),
         First(vantage, None),
         RULES,
-        lambda endpoint: links[int(endpoint.endpoint_id[1:])],
+        lambda endpoint_id, host, port: links[int(endpoint_id[1:])],
         clock,
     )
 
