--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -79,7 +79,7 @@
     async def main():
         served = Served()
         async with serving(served) as (_, reader, writer):
-            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n" * 1)
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
             writer.write(b"GET /b HTTP/1.1\r\nHost: x\r\n\r\n")
             await until(lambda: served.started == ["/a", "/b"])
             served.finish("/b")
