Index endpoints by host, and send what a link may lose in one place

Read over as a whole, the change looked through all endpoints for the one beside the daemon on every request, again for each entry that was put, and once more for each link. The directory keeps an index by host now; a test holds it against the entries through moves, replacements and removals. Subscriptions and cancellations shared a send that ignores a link that ended. The store's count of calls had no reader.

--- a/src/savoryhollow/membership/directory.py
+++ b/src/savoryhollow/membership/directory.py
@@ -31,10 +31,11 @@
 
 
 class Directory:
-    """Endpoints by id, with those whose removal isn't settled yet."""
+    """Endpoints by id and host, with those whose removal isn't settled yet."""
 
     def __init__(self) -> None:
         self.endpoints_by_id: dict[str, KnownEndpoint] = {}
+        self.endpoints_by_host: dict[str, KnownEndpoint] = {}
         self.generation = 0
         self._removals_by_id: dict[str, float] = {}
         self._lost_at: float | None = None
@@ -50,22 +51,22 @@
         An instance has one backend server, so a newer entry of the same host
         takes the place of those before it.
         """
-        for other in self._of_host(endpoint.host):
-            if other.endpoint_id == endpoint.endpoint_id:
-                continue
+        other = self.endpoints_by_host.get(endpoint.host)
+        if other is not None and other.endpoint_id != endpoint.endpoint_id:
             if other.revision > endpoint.revision:
                 return False
             self._drop(other.endpoint_id)
         self._removals_by_id.pop(endpoint.endpoint_id, None)
-        if self.endpoints_by_id.get(endpoint.endpoint_id) == endpoint:
+        known = self.endpoints_by_id.get(endpoint.endpoint_id)
+        if known == endpoint:
             return False
+        if known is not None and known.host != endpoint.host:
+            del self.endpoints_by_host[known.host]
         self.endpoints_by_id[endpoint.endpoint_id] = endpoint
+        self.endpoints_by_host[endpoint.host] = endpoint
         self.generation += 1
         return True
 
-    def _of_host(self, host: str) -> list[KnownEndpoint]:
-        return [one for one in self.endpoints_by_id.values() if one.host == host]
-
     def remove(self, endpoint_id: str, now: float) -> None:
         """Take an entry out, at once or when renewals have had their time."""
         if endpoint_id not in self.endpoints_by_id:
@@ -102,7 +103,9 @@
 
     def _drop(self, endpoint_id: str) -> None:
         self._removals_by_id.pop(endpoint_id, None)
-        self.endpoints_by_id.pop(endpoint_id, None)
+        endpoint = self.endpoints_by_id.pop(endpoint_id, None)
+        if endpoint is not None:
+            del self.endpoints_by_host[endpoint.host]
         self.generation += 1
 
     # -----------------------------------------------------------------------
--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -45,7 +45,6 @@
         self._clock = asyncio.get_running_loop().time
         self._answer_limit_s = FIRST_ANSWER_LIMIT_S
         self._in_contact: bool | None = None
-        self.calls = 0
 
     async def run(self) -> None:
         """Follow the store for ever."""
@@ -125,7 +124,6 @@
         target = f"/api/{call}?{urllib.parse.urlencode(query)}"
         headers = (calls.Header("Host", self._host),)
         data = messages.render_request(messages.Request("GET", target, headers, b""))
-        self.calls += 1
         try:
             async with asyncio.timeout(wait_s + self._answer_limit_s):
                 connection, _ = await self._pool.acquire()
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -109,8 +109,8 @@
         vantage = placement.Vantage("", settings.region, settings.zone)
 
         def open_link(endpoint_id: str, host: str, port: int) -> links.Link:
-            zones = {one.host: one for one in self.members.endpoints_by_id.values()}
-            near = host in zones and zones[host].region == settings.region
+            known = self.members.endpoints_by_host.get(host)
+            near = known is not None and known.region == settings.region
             hello = messages.HelloMessage(
                 messages.PROTOCOL_VERSION,
                 settings.instance,
@@ -248,11 +248,10 @@
 
     def own_endpoint(self) -> directory.KnownEndpoint | None:
         """Return the entry of the backend server beside this process."""
-        host = self.settings.backend.host
-        for endpoint in self.members.endpoints_by_id.values():
-            if endpoint.host == host and endpoint.service == self.settings.service:
-                return endpoint
-        return None
+        listed = self.members.endpoints_by_host.get(self.settings.backend.host)
+        if listed is None or listed.service != self.settings.service:
+            return None
+        return listed
 
     def identify(self, service: str) -> str | None:
         """Return the endpoint that runs the requests of a service here.
@@ -313,12 +312,11 @@
             await asyncio.sleep(RELAY_INTERVAL_S)
 
     def _follow_readers(self) -> None:
-        readers = set(self._reader_hosts())
-        for endpoint in tuple(self.members.endpoints_by_id.values()):
-            if endpoint.host in readers:
-                link = self.router.link(endpoint)
-                if link is not None:
-                    link.follow()
+        for host in self._reader_hosts():
+            endpoint = self.members.endpoints_by_host.get(host)
+            link = None if endpoint is None else self.router.link(endpoint)
+            if link is not None:
+                link.follow()
 
     def _note_contact(self, good: bool) -> None:
         if good:
--- a/src/savoryhollow/proxy/links.py
+++ b/src/savoryhollow/proxy/links.py
@@ -97,7 +97,8 @@
             await self._send(connection, message)
             return await answer
         except asyncio.CancelledError:
-            self._cancel(connection, message.request_id)
+            cancel = messages.CancelMessage(message.request_id)
+            tasks.spawn(self._send_aside(connection, cancel))
             raise
         finally:
             self._answers_by_id.pop(message.request_id, None)
@@ -113,11 +114,7 @@
 
     async def _subscribe(self, connection) -> None:
         known = self._settings.known_revision()
-        try:
-            await self._send(connection, messages.SubscribeMessage(known))
-        except errors.ChannelClosedError:
-            # Asked again as soon as the link is back.
-            return
+        await self._send_aside(connection, messages.SubscribeMessage(known))
 
     async def _wait_for_connection(self):
         try:
@@ -153,15 +150,12 @@
             text = f"the link to {self.host} ended; see to its daemon"
             raise errors.ChannelClosedError(text) from error
 
-    def _cancel(self, connection, request_id: str) -> None:
-        async def send() -> None:
-            try:
-                await self._send(connection, messages.CancelMessage(request_id))
-            except errors.ChannelClosedError:
-                # The end of the link cancels the request as well.
-                return
-
-        tasks.spawn(send())
+    async def _send_aside(self, connection, message: messages.Message) -> None:
+        """Send what a link that ends makes needless, or is sent again with the next."""
+        try:
+            await self._send(connection, message)
+        except errors.ChannelClosedError:
+            return
 
     def close(self) -> None:
         """End the link for good."""
--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -75,7 +75,7 @@
     def meet(self) -> None:
         """Open links to the endpoints worked with, and drop what is gone."""
         self._subsets_by_service.clear()
-        by_host = {one.host: one for one in self._members.endpoints_by_id.values()}
+        by_host = self._members.endpoints_by_host
         for service in self.budgets_by_service:
             for endpoint in self._subset(service):
                 self.link(endpoint)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -62,3 +62,13 @@
     assert set(members.endpoints_by_id) == {"new"}
     assert not members.put(endpoint("old", revision=5))
     assert set(members.endpoints_by_id) == {"new"}
+
+
+def test_the_index_by_host_keeps_up_with_every_change():
+    members = known(endpoint("a"), endpoint("b", "10.0.0.2"))
+    members.put(endpoint("a", "10.0.0.3", revision=2))
+    members.put(endpoint("c", "10.0.0.2", revision=3))
+    members.remove("a", 0.0)
+    by_host = {one.host: one for one in members.endpoints_by_id.values()}
+    assert members.endpoints_by_host == by_host
+    assert set(by_host) == {"10.0.0.2"}
