--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -88,13 +88,15 @@
     #   Settings that change
     # -----------------------------------------------------------------------
 
-    async def follow_settings(self, path: pathlib.Path, hint: asyncio.Event) -> None:
+    async def follow_settings(
+        self, path: pathlib.Path, seen: tuple[int, int], hint: asyncio.Event
+    ) -> None:
         """Take in the settings file whenever it changes, for ever.
 
         :param path: the file.
+        :param seen: what told its content from others before it was read.
         :param hint: set where it should be looked at once.
         """
-        seen = _stamp(path)
         while True:
             told = await _wait(hint, SETTINGS_INTERVAL_S)
             stamp = _stamp(path)
@@ -136,7 +138,9 @@
     return True
 
 
-async def _serve(path: pathlib.Path, settings: boot.BootSettings) -> bool:
+async def _serve(
+    path: pathlib.Path, seen: tuple[int, int], settings: boot.BootSettings
+) -> bool:
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -146,7 +150,7 @@
     hint = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, hint.set)
     await agent.start()
-    tasks.keep_running("settings", lambda: adapter.follow_settings(path, hint))
+    tasks.keep_running("settings", lambda: adapter.follow_settings(path, seen, hint))
     following = tasks.keep_running("follow", adapter.follower.run)
     gc.collect()
     # What is alive now lives as long as the process; keep the collector off it.
@@ -165,10 +169,11 @@
     :raises errors.SettingsError: where the settings are rejected.
     """
     path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+    seen = _stamp(path)
     settings = boot.read(path)
     events.configure(settings.agent.instance, stream=output.LossyStream(1))
     with asyncio.Runner() as runner:
-        drained = runner.run(_serve(path, settings))
+        drained = runner.run(_serve(path, seen, settings))
         logging.shutdown()
         # Links to peers that don't answer would hold up an ordinary exit.
         os._exit(0 if drained else 1)
