Soak the daemon of the users' platform, with faults from outside

Cause: the soak ran the threaded daemon alone, so nothing of our own ran the path that serves the users as separate processes under faults. Change: soak/ starts real daemons, a store of items by key, backend servers and callers; proxies stand between all of them. The proxy, the store and the reading of messages stand in emulator/. Ruled out: the product's own HTTP client for callers, as it passes over answers of other requests and would hide them.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real daemons as separate processes, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,245 @@
+"""A whole deployment: the store, backend servers, proxies, daemons and callers."""
+
+import asyncio
+import pathlib
+import random
+
+from emulator import keyed_store, proxy
+from savoryhollow import errors
+from soak import backends, callers, daemons, layout, records
+
+__all__ = ["Instance", "World"]
+
+CONFIGURATION_KEY = "op/config"
+ENTRY_PREFIX = "servers/"
+SLOTS = 4
+CALLERS_PER_INSTANCE = 2
+# Paths by kind, target and rank; services by path in the first configuration.
+KINDS_BY_PREFIX = {
+    "/lookup/": ("safe", 1),
+    "/book/": ("unsafe", 1),
+    "/report/": ("safe", 2),
+    "/order/": ("unsafe", 0),
+    "/spec/": ("safe", 1),
+}
+FIRST_SERVICES = {
+    "/lookup/": ("dispatch",),
+    "/book/": ("dispatch",),
+    "/report/": ("stock",),
+    "/order/": ("stock",),
+    "/spec/": ("stock",),
+}
+# Paths of later configurations that stay at one time.
+ADDED_PATHS = 4
+READY_LIMIT_S = 60.0
+POLL_S = 0.1
+# How late the observer may be before nothing timed counts, in s.
+OBSERVER_LATE_S = 0.15
+
+
+class Instance:
+    """One instance and all that stands around it."""
+
+    def __init__(self, place, folder, seeds, ledger, rng):
+        self.place: layout.Place = place
+        self.backend = backends.BackendServer(
+            place, f"{place.name}-a", SLOTS, ledger, rng
+        )
+        self.daemon = daemons.Daemon(place, folder, seeds, ledger)
+        self.proxies_by_port = {
+            port: proxy.Proxy(place.published, place.real, port)
+            for port in (layout.FRONT_PORT, layout.INNER_PORT, layout.BACKEND_PORT)
+        }
+        self.proxies_by_port[layout.STORE_PORT] = proxy.Proxy(
+            place.store, layout.store_host(place.subnet), layout.STORE_PORT
+        )
+        self.generation = 0
+
+    def new_endpoint_id(self) -> str:
+        """Return an id that no endpoint had before."""
+        self.generation += 1
+        return f"{self.place.name}-{self.generation}"
+
+
+class World:
+    """Everything that runs, and the ledger of what was seen.
+
+    :param instances: how many instances there are.
+    :param subnet: the second octet of their IP numbers.
+    :param folder: where settings and logs are kept.
+    :param seed: decides what callers and backend servers do.
+    """
+
+    def __init__(self, instances: int, subnet: int, folder: pathlib.Path, seed: int):
+        self.ledger = records.Ledger()
+        self.store = keyed_store.Store(layout.store_host(subnet), layout.STORE_PORT)
+        places = layout.lay_out(instances, subnet)
+        self.instances_by_number = {
+            place.number: Instance(
+                place,
+                folder,
+                places[:3],
+                self.ledger,
+                random.Random(f"{seed}/backend/{place.number}"),
+            )
+            for place in places
+        }
+        self.callers = [
+            callers.Caller(
+                instance.place,
+                self.ledger,
+                random.Random(f"{seed}/caller/{number}/{one}"),
+                lambda daemon=instance.daemon: daemon.boots,
+                self._added_prefixes,
+            )
+            for number, instance in self.instances_by_number.items()
+            for one in range(CALLERS_PER_INSTANCE)
+        ]
+        self._version = 0
+        self._services_by_prefix = dict(FIRST_SERVICES)
+        self._tasks: list[asyncio.Task] = []
+
+    # -----------------------------------------------------------------------
+    #   Life
+    # -----------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Start everything and wait until each daemon is ready.
+
+        :raises errors.SavoryhollowError: where one isn't in time.
+        """
+        await self.store.start()
+        self.publish()
+        for instance in self.instances_by_number.values():
+            for one in instance.proxies_by_port.values():
+                await one.start()
+            await instance.backend.start()
+            self.register(instance)
+            instance.daemon.start()
+        await self._await_ready()
+        self._tasks.append(asyncio.create_task(self._watch_lateness()))
+        self._tasks += [asyncio.create_task(one.run()) for one in self.callers]
+
+    async def stop_callers(self) -> None:
+        """Send nothing more, and let the last answers come."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def stop(self) -> None:
+        """End every process, and close every port."""
+        instances = self.instances_by_number.values()
+        await asyncio.gather(*(one.daemon.stop() for one in instances))
+        for instance in instances:
+            instance.backend.end()
+            for one in instance.proxies_by_port.values():
+                one.close()
+        self.store.close()
+
+    async def _await_ready(self) -> None:
+        until = self.ledger.now + READY_LIMIT_S
+        for instance in self.instances_by_number.values():
+            while not await _is_ready(instance.place):
+                if self.ledger.now > until:
+                    text = f"{instance.place.name} isn't ready; read its log"
+                    raise errors.SavoryhollowError(text)
+                await asyncio.sleep(POLL_S)
+
+    async def _watch_lateness(self) -> None:
+        while True:
+            before = self.ledger.now
+            await asyncio.sleep(POLL_S)
+            late_s = self.ledger.now - before - POLL_S
+            if late_s > OBSERVER_LATE_S:
+                self.ledger.disturb("the observer was late", None, 0.0)
+
+    # -----------------------------------------------------------------------
+    #   What is published
+    # -----------------------------------------------------------------------
+
+    def publish(self, extra_routes: int = 0, timeout_s: float = 3.0) -> None:
+        """Publish the next configuration; it adds a path and drops the oldest."""
+        self._version += 3
+        service = layout.SERVICES[self._version % len(layout.SERVICES)]
+        if self._version > 3:
+            self._services_by_prefix[f"/v{self._version}/"] = (service,)
+        for prefix in self._added_prefixes()[:-ADDED_PATHS]:
+            del self._services_by_prefix[prefix]
+        services = dict(self._services_by_prefix)
+        for number in range(extra_routes):
+            services[f"/many/{number}/"] = ("dispatch",)
+        document = _configuration(self._version, services, timeout_s)
+        change = records.Change(
+            self._version,
+            self.ledger.now,
+            {prefix: frozenset(found) for prefix, found in services.items()},
+        )
+        self.ledger.changes.append(change)
+        self.store.put(CONFIGURATION_KEY, document)
+
+    def _added_prefixes(self) -> list[str]:
+        return [one for one in self._services_by_prefix if one.startswith("/v")]
+
+    def register(self, instance: Instance, state: str = "ready") -> None:
+        """Let the store hold the entry of an instance's backend server."""
+        place = instance.place
+        entry = {
+            "service": instance.backend.service,
+            "address": f"{place.published}:{layout.BACKEND_PORT}",
+            "zone": place.zone,
+            "version": "v1",
+            "slots": SLOTS,
+            "state": state,
+            "cold_s": 0,
+            "seq": 1,
+        }
+        self.store.put(self.entry_key(instance), entry)
+
+    def entry_key(self, instance: Instance) -> str:
+        """Return the key of the entry of an instance's backend server."""
+        return ENTRY_PREFIX + instance.backend.endpoint_id
+
+
+def _configuration(version: int, services_by_prefix, timeout_s: float) -> dict:
+    rules = []
+    for prefix, services in services_by_prefix.items():
+        kind, priority = KINDS_BY_PREFIX.get(prefix, ("safe", 1))
+        action = {"service": services[0], "timeout_s": timeout_s, "max_attempts": 3}
+        rules.append(
+            {
+                "name": f"r{prefix.replace('/', '-')}",
+                "kind": kind,
+                "target_latency_s": 0.6,
+                "priority": priority,
+                "match": {"prefix": prefix},
+                "action": action,
+            }
+        )
+    return {
+        "version": version,
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        },
+        "listeners": [{"host": callers.HOST, "rules": rules}],
+        "clusters": [
+            {"name": service, "health_path": backends.HEALTH_PATH}
+            for service in layout.SERVICES
+        ],
+    }
+
+
+async def _is_ready(place: layout.Place) -> bool:
+    try:
+        reader, writer = await asyncio.open_connection(
+            place.real, layout.READINESS_PORT
+        )
+    except OSError:
+        return False
+    path = callers.NAMES.readiness_path
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: ready\r\n\r\n".encode())
+    line = await reader.readline()
+    writer.close()
+    return b" 200 " in line
