Log why a request is given up, whom routers trust, and lost backend servers

Cause: an engineer with logs alone couldn't see why a router stopped trying, which endpoint it distrusted or trusted again, what pace a gate refused by and how old that was, that the backend server was away, that a request was rejected while it was read, or that a daemon took over reading for its region. Change: a numbered event for each, with its inputs; events of requests keep to the same limit of lines. Before: tests/test_proxy_events.py, 7 failed. After: 7 passed.

--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -56,6 +56,9 @@
     """Accepts callers and keeps account of their connections.
 
     :param handle: answers one request; cancelled where the caller has left.
+
+    ``on_rejected`` is told the status of each request that is rejected while it is
+    read, and the headers read so far.
     """
 
     def __init__(self, handle: Handler):
@@ -63,6 +66,9 @@
         self.limits = Limits()
         self.closing = False
         self.closed = False
+        self.on_rejected: collections.abc.Callable[
+            [int, tuple[calls.Header, ...]], None
+        ] = lambda status, headers: None
         self.connections: set[CallerConnection] = set()
         self._server: asyncio.Server | None = None
 
@@ -286,6 +292,7 @@
         """Answer bytes that are no request, after all answers owed before it."""
         if self._turns and self._turns[-1].request is None:
             return
+        self._server.on_rejected(status, tuple(self._headers))
         self._turns.append(_Turn(None, messages.Response(status, close=True)))
         if self._transport is not None:
             self._transport.pause_reading()
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -50,7 +50,12 @@
     RUN_UNKNOWN = 4007
     ENDPOINT_DISTRUSTED = 4008
     RUN_ENDED = 4009
+    ENDPOINT_TRUSTED = 4010
+    REQUEST_GIVEN_UP = 4011
+    REQUEST_REJECTED = 4012
     PROBE_FAILED = 3008
+    BACKEND_LOST = 3009
+    BACKEND_REGAINED = 3010
     LIBRARY_MESSAGE = 9001
     THREAD_FAILED = 9002
 
@@ -69,6 +74,7 @@
         Event.RUN_UNKNOWN,
         Event.ENDPOINT_DISTRUSTED,
         Event.PROBE_FAILED,
+        Event.BACKEND_LOST,
     )
 )
 _ERRORS = frozenset((Event.THREAD_FAILED,))
@@ -93,6 +99,8 @@
         Event.RUN_REFUSED,
         Event.RUN_UNKNOWN,
         Event.RUN_ENDED,
+        Event.REQUEST_GIVEN_UP,
+        Event.REQUEST_REJECTED,
     )
 )
 REQUESTS_PER_WINDOW = 2000
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -95,6 +95,7 @@
             dialect, settings.service, self.router.route, self.counts, self._clock
         )
         self._callers = callers.Server(self.front.handle)
+        self._callers.on_rejected = self.front.note_rejected
         self._readiness = callers.Server(self._answer_readiness)
         self._metrics = callers.Server(self._answer_metrics)
         self._inner = inner.InnerPort(
@@ -302,8 +303,13 @@
         return relay.rank_readers(hosts)[: relay.READERS]
 
     async def _keep_following(self) -> None:
+        was_reader = False
         while True:
-            if self.reads_platform:
+            is_reader = self.reads_platform
+            if is_reader is not was_reader:
+                events.emit(events.Event.READER_CHANGED, is_reader=is_reader)
+                was_reader = is_reader
+            if is_reader:
                 self.tell_followers()
             self._follow_readers()
             if self.replica.as_of >= 0:
--- a/src/savoryhollow/proxy/front.py
+++ b/src/savoryhollow/proxy/front.py
@@ -141,6 +141,16 @@
             headers = (calls.Header("Retry-After", f"{UNCONFIGURED_RETRY_S:.2f}"),)
         return messages.Response(status, headers)
 
+    def note_rejected(self, status: int, headers: tuple[calls.Header, ...]) -> None:
+        """Take account of a request that was rejected while it was read."""
+        request_id = messages.find(headers, self._dialect.request_id) or ""
+        events.emit(
+            events.Event.REQUEST_REJECTED,
+            request_id=request_id[:MAX_ID_CHARACTERS],
+            status=status,
+        )
+        self._counts.refuse("", str(status))
+
     # -----------------------------------------------------------------------
     #   Answers
     # -----------------------------------------------------------------------
--- a/src/savoryhollow/proxy/gate.py
+++ b/src/savoryhollow/proxy/gate.py
@@ -166,6 +166,9 @@
             reason=reason.value,
             remaining_ms=call.remaining_us // 1000,
             expected_ms=round(1000 * entry.work_s),
+            pace_percent=self.pace_percent,
+            pace_age_ms=self._pace_age_ms(),
+            in_spell=self.queue.is_in_spell(self._clock()),
             busy=self.queue.busy,
             slots=self.queue.slots,
             waiting=len(self.queue.waiting),
@@ -174,6 +177,10 @@
             call.request_id, reason, retry_after_ms, self.report()
         )
 
+    def _pace_age_ms(self) -> int | None:
+        age_s = self._clock() - self._runner.load_at
+        return round(1000 * age_s) if math.isfinite(age_s) else None
+
     # -----------------------------------------------------------------------
     #   Slots
     # -----------------------------------------------------------------------
--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import enum
 import itertools
 
 from savoryhollow import calls, errors
@@ -30,6 +31,16 @@
 _BY_BACKEND = frozenset((calls.NotRunReason.REJECTED, calls.NotRunReason.MISDIRECTED))
 
 
+class GiveUp(enum.Enum):
+    """Why no further attempt is made for a request."""
+
+    DEADLINE = "deadline"
+    GATES_ASKED = "gates-asked"
+    ATTEMPTS = "attempts"
+    BUDGET = "budget"
+    NO_ENDPOINT = "no-endpoint"
+
+
 class Router:
     """Places calls on endpoints.
 
@@ -170,15 +181,12 @@
         progress = attempts.Progress()
         while True:
             now = self._clock()
-            if now >= call.deadline or progress.asked >= MAX_GATES_ASKED:
-                return self._give_up(call, progress)
-            if progress.sent and not self._may_repeat(progress, max_attempts, budget):
-                return self._give_up(call, progress)
-            placed = self._place(call, progress, now)
+            reason = self._reason_to_stop(call, progress, max_attempts, now)
+            placed = None if reason else self._place(call, progress, now)
             if placed is None:
-                return self._give_up(call, progress)
-            if progress.sent and not budget.take(now, self._daemons):
-                return self._give_up(call, progress)
+                return self._give_up(call, progress, reason or GiveUp.NO_ENDPOINT)
+            if progress.sent:
+                budget.take(now, self._daemons)
             outcome = await self._attempt(call, placed, progress)
             if self._is_final(call, outcome):
                 return outcome
@@ -220,10 +228,20 @@
             self.budgets_by_service[service] = budget
         return budget
 
-    def _may_repeat(self, progress, max_attempts, budget) -> bool:
+    def _reason_to_stop(
+        self, call: calls.Call, progress, max_attempts: int, now: float
+    ) -> GiveUp | None:
+        if now >= call.deadline:
+            return GiveUp.DEADLINE
+        if progress.asked >= MAX_GATES_ASKED:
+            return GiveUp.GATES_ASKED
+        if not progress.sent:
+            return None
         if progress.sent >= max_attempts:
-            return False
-        return budget.left(self._clock(), self._daemons) >= 1.0
+            return GiveUp.ATTEMPTS
+        if self._budget(call.service).left(now, self._daemons) < 1.0:
+            return GiveUp.BUDGET
+        return None
 
     @staticmethod
     def _is_final(call: calls.Call, outcome: calls.Outcome) -> bool:
@@ -234,8 +252,22 @@
             return False
         return not call.idempotent
 
-    def _give_up(self, call: calls.Call, progress: attempts.Progress) -> calls.Outcome:
+    def _give_up(
+        self, call: calls.Call, progress: attempts.Progress, reason: GiveUp
+    ) -> calls.Outcome:
         """Return what a caller is told when no further attempt is made."""
+        now = self._clock()
+        events.emit(
+            events.Event.REQUEST_GIVEN_UP,
+            request_id=call.request_id,
+            reason=reason.value,
+            sent=progress.sent,
+            asked=progress.asked,
+            bounced=len(progress.bounced),
+            remaining_ms=round(1000 * (call.deadline - now)),
+            repeats_left=round(self._budget(call.service).left(now, self._daemons), 1),
+            membership=self._members.generation,
+        )
         if progress.failure is not None:
             return progress.failure
         if progress.maybe_run is not None:
@@ -271,7 +303,7 @@
         else:
             progress.tried.add(endpoint.endpoint_id)
             progress.asked += 1
-        self._learn(evidence, answer, outcome, started)
+        self._learn(placed.candidate, answer, outcome, started)
         events.emit(
             events.Event.ATTEMPT_ENDED,
             request_id=call.request_id,
@@ -335,8 +367,11 @@
         ticket = calls.Ticket(call.request_id, endpoint.endpoint_id, "", origin)
         return calls.Unknown(call.request_id, ticket, detail)
 
-    def _learn(self, evidence, answer, outcome, started: float) -> None:
+    def _learn(
+        self, candidate: placement.Candidate, answer, outcome, started: float
+    ) -> None:
         now = self._clock()
+        evidence = candidate.evidence
         trusted = evidence.trusted
         report = getattr(answer, "load", None)
         if report is not None:
@@ -351,13 +386,22 @@
                 evidence.fail(now, reached=False)
         elif not isinstance(outcome, calls.TimedOut):
             evidence.fail(now, reached=True)
-        if trusted and not evidence.trusted:
-            events.emit(
-                events.Event.ENDPOINT_DISTRUSTED,
-                request_id=outcome.request_id,
-                failure_share=round(evidence.failure_share, 2),
-                detail=attempts.describe(outcome),
-            )
+        if trusted is not evidence.trusted:
+            self._log_trust(candidate, outcome)
+
+    def _log_trust(self, candidate: placement.Candidate, outcome) -> None:
+        evidence = candidate.evidence
+        event = events.Event.ENDPOINT_DISTRUSTED
+        if evidence.trusted:
+            event = events.Event.ENDPOINT_TRUSTED
+        events.emit(
+            event,
+            endpoint_id=candidate.endpoint.endpoint_id,
+            request_id=outcome.request_id,
+            failure_share=round(evidence.failure_share, 2),
+            backoff_ms=round(1000 * evidence.backoff_s),
+            detail=attempts.describe(outcome),
+        )
 
 
 def _untried(candidate: placement.Candidate, tried: set[str]) -> bool:
--- a/src/savoryhollow/proxy/running.py
+++ b/src/savoryhollow/proxy/running.py
@@ -79,6 +79,7 @@
         self.probe_path = "/"
         self._probe: asyncio.Task[BackendLoad | None] | None = None
         self._no_probe_until = float("-inf")
+        self._reachable: bool | None = None
         self.on_load: collections.abc.Callable[[], None] = lambda: None
 
     async def run(self, call: wire.CallMessage, deadline: float) -> RunResult:
@@ -88,7 +89,7 @@
         :param deadline: the instant after which its answer is of no use.
         """
         try:
-            connection, reused = await self.pool.acquire()
+            connection, reused = await self._acquire()
         except errors.BackendError as error:
             return RunResult(reason=calls.NotRunReason.UNREACHABLE, detail=str(error))
         now = self.pool.clock()
@@ -138,7 +139,7 @@
         request = messages.Request("GET", self.probe_path, headers, b"")
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                connection, _ = await self.pool.acquire()
+                connection, _ = await self._acquire()
                 response = await connection.exchange(messages.render_request(request))
         except (errors.BackendError, TimeoutError) as error:
             self._no_probe_until = self.pool.clock() + PROBE_TIMEOUT_S
@@ -150,6 +151,23 @@
         self._note_load(response)
         return self.load
 
+    async def _acquire(self) -> tuple[backends.Connection, bool]:
+        """Return a connection, and note whether there is a backend server.
+
+        :raises errors.BackendError: where none can be had.
+        """
+        try:
+            found = await self.pool.acquire()
+        except errors.BackendError as error:
+            if self._reachable is not False:
+                events.emit(events.Event.BACKEND_LOST, detail=str(error))
+            self._reachable = False
+            raise
+        if not self._reachable:
+            events.emit(events.Event.BACKEND_REGAINED, host=self.pool.host)
+        self._reachable = True
+        return found
+
     def _request(self, call: wire.CallMessage, remaining_s: float) -> messages.Request:
         names = self._dialect
         own = {names.deadline_ms.lower(), names.expected_endpoint.lower()}
--- /dev/null
+++ b/tests/test_proxy_events.py
@@ -0,0 +1,134 @@
+"""Each decision that touches a request, or changes a belief, has its line."""
+
+import asyncio
+
+import pytest
+
+from savoryhollow import calls
+from savoryhollow.http1 import backends
+from savoryhollow.observe import events
+from savoryhollow.proxy import running
+from tests import test_agent, test_http1, test_proxy
+
+LOAD = test_proxy.LOAD
+REJECTED = running.RunResult(reason=calls.NotRunReason.REJECTED)
+
+
+@pytest.fixture
+def emitted(monkeypatch):
+    found = []
+    monkeypatch.setattr(
+        events, "emit", lambda event, **fields: found.append((event, fields))
+    )
+    return found
+
+
+def fields_of(emitted, event):
+    return [fields for one, fields in emitted if one is event]
+
+
+def test_a_router_that_gives_up_says_why_and_by_which_inputs(emitted):
+    for links, attempts, reason in (
+        ((), 2, "no-endpoint"),
+        ((test_proxy.Link(test_proxy.LOST),) * 2, 1, "attempts"),
+    ):
+        emitted.clear()
+        test_proxy.outcome_of(*links, max_attempts=attempts)
+        (fields,) = fields_of(emitted, events.Event.REQUEST_GIVEN_UP)
+        assert fields["request_id"] == "r1"
+        assert fields["reason"] == reason
+        assert fields["sent"] == (1 if links else 0)
+        assert fields["repeats_left"] > 0
+        assert fields["membership"] == len(links)
+
+
+def test_a_router_whose_budget_is_spent_says_so(emitted):
+    async def main():
+        router = test_proxy.router_of(
+            test_proxy.Link(test_proxy.LOST), test_proxy.Link(test_proxy.SERVED)
+        )
+        router.expect(["dispatch"])
+        budget = router.budgets_by_service["dispatch"]
+        while budget.take(test_proxy.clock(), 2):
+            pass
+        await router.route(test_proxy.call(), 2)
+
+    test_proxy.play(main)
+    (fields,) = fields_of(emitted, events.Event.REQUEST_GIVEN_UP)
+    assert fields["reason"] == "budget"
+    assert fields["repeats_left"] < 1
+
+
+def test_losing_and_regaining_trust_name_the_endpoint(emitted):
+    async def main():
+        router = test_proxy.router_of(
+            test_proxy.Link(*[test_proxy.FAILED] * 3, test_proxy.SERVED)
+        )
+        for _ in range(12):
+            await router.route(test_proxy.call(), 1)
+            await asyncio.sleep(0.21)
+
+    test_proxy.play(main)
+    for event in (events.Event.ENDPOINT_DISTRUSTED, events.Event.ENDPOINT_TRUSTED):
+        assert [one["endpoint_id"] for one in fields_of(emitted, event)] == ["e0"]
+
+
+def test_a_refusal_tells_the_pace_that_decided_it_and_its_age(emitted):
+    async def main():
+        gate = test_proxy.gate_of(test_proxy.Runner())
+        gate.leave()
+        await gate.serve(test_proxy.message())
+
+    test_proxy.play(main)
+    (fields,) = fields_of(emitted, events.Event.RUN_REFUSED)
+    assert fields["pace_percent"] == 100
+    assert fields["pace_age_ms"] is None
+    assert fields["in_spell"] is False
+
+
+def test_a_backend_server_that_is_lost_and_regained_is_told_once_each(emitted):
+    async def main():
+        pool = backends.Pool("127.0.0.1", 9)
+        runner = running.BackendRunner(test_agent.headers.DIALECT, pool)
+        await runner.probe()
+        await runner.probe()
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        runner.connect_to(*server.sockets[0].getsockname())
+        await runner.probe()
+        await runner.probe()
+        server.close()
+
+    async def answer(reader, writer):
+        while await reader.readline():
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+
+    test_proxy.play(main)
+    assert len(fields_of(emitted, events.Event.BACKEND_LOST)) == 1
+    assert len(fields_of(emitted, events.Event.BACKEND_REGAINED)) == 1
+
+
+def test_a_request_that_is_rejected_while_it_is_read_is_told():
+    rejected = []
+
+    async def main():
+        served = test_http1.Served()
+        async with test_http1.serving(served, header_bytes=20) as (server, _, writer):
+            server.on_rejected = lambda status, headers: rejected.append(status)
+            writer.write(b"GET /a HTTP/1.1\r\nHost: a-long-name.example\r\n\r\n")
+            await asyncio.sleep(0.1)
+
+    test_http1.play(main)
+    assert rejected == [431]
+
+
+def test_a_daemon_that_begins_to_read_for_its_region_says_so(emitted):
+    async def main():
+        agent = test_agent.agent_of()
+        await agent.start()
+        await asyncio.sleep(0)
+        await agent.stop()
+
+    test_agent.play(main)
+    (fields,) = fields_of(emitted, events.Event.READER_CHANGED)
+    assert fields == {"is_reader": True}
