--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -10,6 +10,7 @@
 import collections
 import collections.abc
 import dataclasses
+import socket
 
 import httptools
 
@@ -20,6 +21,8 @@
 
 # Requests read from one connection and not yet answered, at most.
 MAX_PIPELINED = 64
+# Connections that may wait to be accepted.
+BACKLOG = 1024
 # Time that an unread answer may take to leave once the connection is to close, in s.
 LINGER_S = 1.0
 # Methods whose requests may be served beside others of their connection.
@@ -77,11 +80,18 @@
         """The number of requests that were read and not yet answered."""
         return sum(connection.pending for connection in self.connections)
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen on an address."""
+    async def start(
+        self, host: str, port: int, listening: socket.socket | None = None
+    ) -> None:
+        """Listen on an address.
+
+        :param listening: a socket that does so already, in place of a new one.
+        """
+        if listening is None:
+            listening = socket.create_server((host, port), backlog=BACKLOG)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), host, port, backlog=1024, reuse_address=True
+            lambda: CallerConnection(self), sock=listening, backlog=BACKLOG
         )
 
     def finish(self) -> None:
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -240,6 +240,8 @@
     absl.logging.set_verbosity(
         absl.logging.converter.standard_to_absl(LEVELS_BY_NAME[level])
     )
+    # It tells of each connection that opens and closes, as events do where it matters.
+    logging.getLogger("websockets").setLevel(logging.WARNING)
     threading.excepthook = _report_thread
 
 
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -6,20 +6,20 @@
 import os
 import pathlib
 import signal
+import socket
 
 from savoryhollow import errors
 from savoryhollow.observe import events, output
-from savoryhollow.platform import boot, documents, headers, store
+from savoryhollow.platform import boot, documents, early, headers, store
 from savoryhollow.proxy import agent as agent_module
 from savoryhollow.proxy import tasks
+from savoryhollow.settings import models
 from savoryhollow.wire import messages
 
 __all__ = ["run"]
 
-SETTINGS_VARIABLE = "SAVORYHOLLOW_BOOT"
 # How often the settings file is looked at, in s.
 SETTINGS_INTERVAL_S = 0.5
-DEFAULT_PATH = "/etc/savoryhollow/local.toml"
 
 
 class Adapter:
@@ -139,7 +139,10 @@
 
 
 async def _serve(
-    path: pathlib.Path, seen: tuple[int, int], settings: boot.BootSettings
+    path: pathlib.Path,
+    seen: tuple[int, int],
+    settings: boot.BootSettings,
+    front_socket: socket.socket | None,
 ) -> bool:
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
@@ -149,7 +152,7 @@
     agent = adapter.agent
     hint = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, hint.set)
-    await agent.start()
+    await agent.start(_checked(front_socket, settings.agent.front))
     tasks.keep_running("settings", lambda: adapter.follow_settings(path, seen, hint))
     following = tasks.keep_running("follow", adapter.follower.run)
     gc.collect()
@@ -162,18 +165,29 @@
     return drained
 
 
-def run() -> int:
+def _checked(
+    listening: socket.socket | None, address: models.Address
+) -> socket.socket | None:
+    """Return a socket if it listens where the settings say; else close it."""
+    if listening is None or listening.getsockname() == (address.host, address.port):
+        return listening
+    listening.close()
+    return None
+
+
+def run(front_socket: socket.socket | None = None) -> int:
     """Run a daemon until SIGTERM or SIGINT.
 
+    :param front_socket: listens for callers already, if it is given.
     :returns: the exit status: 0 where every request had ended, else 1.
     :raises errors.SettingsError: where the settings are rejected.
     """
-    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+    path = early.settings_path()
     seen = _stamp(path)
     settings = boot.read(path)
     events.configure(settings.agent.instance, stream=output.LossyStream(1))
     with asyncio.Runner() as runner:
-        drained = runner.run(_serve(path, seen, settings))
+        drained = runner.run(_serve(path, seen, settings, front_socket))
         logging.shutdown()
         # Links to peers that don't answer would hold up an ordinary exit.
         os._exit(0 if drained else 1)
--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -16,7 +16,9 @@
 # Time for which a watch waits for a change, in ms.
 WATCH_MS = 2500
 # Time for which changes gather before the next watch, in s.
-GATHER_S = 0.2
+GATHER_S = 0.4
+# Time between two readings that may be old, in s.
+STALE_INTERVAL_S = 0.8
 # How often a daemon that follows others looks whether it is its turn, in s.
 TURN_INTERVAL_S = 0.1
 # Time that the store has for an answer, beyond the wait that was asked for, in s;
@@ -70,16 +72,20 @@
         self._host = f"{target.host}:{target.port}"
 
     def _is_due(self) -> bool:
-        if self._replica.as_of < 0 or self._agent.reads_platform:
+        if self._replica.as_of < 0:
             return True
-        return self._replica.may_try(self._clock())
+        if not self._agent.is_settled:
+            return not self._replica.is_fresh(self._clock())
+        return self._agent.reads_platform or self._replica.may_try(self._clock())
 
     async def _read(self) -> None:
         # A read tells sooner than a watch whether the store is back.
         known = self._replica.as_of
-        if known < 0:
+        if known < 0 or not self._agent.is_settled:
             # What is a little old is made good by the watch that follows.
             await self._read_all({"stale_ok": "1"})
+            if not self._agent.is_settled:
+                await asyncio.sleep(STALE_INTERVAL_S)
         elif self._in_contact is False or not await self._watch(known):
             await self._read_all({})
         self._answer_limit_s = FIRST_ANSWER_LIMIT_S
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 import secrets
+import socket
 
 import msgspec
 
@@ -43,6 +44,8 @@
 REPORTS_PER_S = 60
 # How often a reader says that it is well, in s.
 RELAY_INTERVAL_S = 0.5
+# Time after the start in which the own endpoint should come to be listed, in s.
+SETTLE_S = 5.0
 # How often lists and timers are looked after, in s.
 UPKEEP_INTERVAL_S = 0.1
 # Room in a message beside the largest body, in bytes.
@@ -147,14 +150,19 @@
     #   Life
     # -----------------------------------------------------------------------
 
-    async def start(self) -> None:
-        """Open every port."""
+    async def start(self, front_socket: socket.socket | None = None) -> None:
+        """Open every port.
+
+        :param front_socket: listens for callers already, if it is given.
+        """
         settings = self.settings
         for address in settings.inner:
             await self._inner.start(address.host, address.port)
         await self._readiness.start(settings.readiness.host, settings.readiness.port)
         await self._metrics.start(settings.metrics.host, settings.metrics.port)
-        await self._callers.start(settings.front.host, settings.front.port)
+        await self._callers.start(
+            settings.front.host, settings.front.port, front_socket
+        )
         self._tasks.append(tasks.keep_running("publish", self._publish))
         self._tasks.append(tasks.keep_running("keep_up", self._keep_up))
         self._tasks.append(tasks.keep_running("await_pace", self.gate.await_pace))
@@ -280,6 +288,12 @@
         """Whether this daemon is one of those that read for their region."""
         return self.settings.backend.host in self._reader_hosts()
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the list of endpoints can tell who reads for this region."""
+        late = self._clock() >= self._started_at + SETTLE_S
+        return late or self.own_endpoint() is not None
+
     def tell_followers(self) -> None:
         """Tell the daemons that follow this one what is new here, and that it lives."""
         self._inner.relay(self.replica.news())
--- a/src/savoryhollow/proxy/front.py
+++ b/src/savoryhollow/proxy/front.py
@@ -15,6 +15,8 @@
 
 # Taken off the time that a caller waits, for the way back, in s.
 RETURN_S = 0.02
+# Time after the start in which requests wait for the first configuration, in s.
+FIRST_CONFIGURATION_S = 0.8
 # Time that a caller is told to wait where no configuration is known, in s.
 UNCONFIGURED_RETRY_S = 0.3
 # Longest name of a request that is logged, in characters.
@@ -57,15 +59,20 @@
         self._counts = counts
         self._clock = clock
         self.table: routes.RouteTable | None = None
+        self._configured = asyncio.Event()
+        self._waits_until = clock() + FIRST_CONFIGURATION_S
         self._turns = routes.ShareTurns()
 
     def configure(self, table: routes.RouteTable) -> None:
         """Put a table of routes in force."""
         self.table = table
+        self._configured.set()
         self._turns.keep_only(table)
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answer one request; cancelled where its caller has left."""
+        if self.table is None:
+            await self._await_configuration()
         accepted = self._accept(request)
         if isinstance(accepted, messages.Response):
             return accepted
@@ -83,6 +90,14 @@
             raise
         return self._answer(accepted, outcome, request.received_at)
 
+    async def _await_configuration(self) -> None:
+        try:
+            async with asyncio.timeout_at(self._waits_until):
+                await self._configured.wait()
+        except TimeoutError:
+            # The platform can't be read; callers are told to come again.
+            return
+
     # -----------------------------------------------------------------------
     #   Requests
     # -----------------------------------------------------------------------
--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -9,6 +9,7 @@
 """
 
 import collections.abc
+import math
 import zlib
 
 import xxhash
@@ -21,6 +22,8 @@
 READERS = 2
 # Age up to which the word of a reader counts, in s.
 FRESH_S = 1.3
+# Time that readers have for their first word to a daemon that has started, in s.
+FIRST_WORD_S = 1.0
 # How often a daemon reads by itself while its readers can't, in s.
 ALONE_INTERVAL_S = 3.0
 # Removals that are remembered, so that no older entry comes back.
@@ -52,6 +55,7 @@
         self._heard_at = float("-inf")
         self._reader_alive_at = float("-inf")
         self._tried_at = float("-inf")
+        self._waits_since: float | None = None
         self._contact: bool | None = None
         self._told = -1
         self.as_of = -1
@@ -126,7 +130,7 @@
 
     def may_try(self, now: float) -> bool:
         """Say whether to read for oneself, though not a reader; counts as a try."""
-        if self.is_fresh(now):
+        if self.is_fresh(now) or self._awaits_first_word(now):
             return False
         if now - self._reader_alive_at <= FRESH_S:
             # The readers live but can't read, so most likely nobody can.
@@ -135,6 +139,12 @@
         self._tried_at = now
         return True
 
+    def _awaits_first_word(self, now: float) -> bool:
+        if self._waits_since is None:
+            self._waits_since = now
+        never_heard = math.isinf(self._reader_alive_at)
+        return never_heard and now < self._waits_since + FIRST_WORD_S
+
     def message_since(self, revision: int) -> messages.ItemsMessage:
         """Return what a follower that knows a revision is told."""
         items = [one for one in self._items_by_key.values() if one.revision > revision]
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -7,13 +7,15 @@
 from savoryhollow.configuration import routes
 from savoryhollow.http1 import backends, callers
 from savoryhollow.http1 import messages as http
-from savoryhollow.platform import headers
+from savoryhollow.membership import directory, table
+from savoryhollow.platform import early, headers
 from savoryhollow.proxy import agent as agent_module
 from savoryhollow.proxy import options
 from savoryhollow.settings import models
 from savoryhollow.wire import messages
 
 HOST = "127.0.0.1"
+LIVE = table.EndpointState.LIVE
 ANY = models.Address(HOST, 0)
 TABLE = routes.RouteTable(3, routes.CallerLimits(9000, 9000, 3.0, 15.0), ())
 
@@ -84,6 +86,46 @@
     play(main)
 
 
+def test_a_request_that_comes_with_the_first_configuration_is_not_turned_away():
+    """All daemons restart at one time, and callers come before they know a thing."""
+
+    async def main():
+        agent = agent_of()
+        await agent.start()
+        asked = asyncio.create_task(ask(port_of(agent._callers), "/a"))
+        await asyncio.sleep(0.05)
+        assert not asked.done()
+        agent.configure(TABLE)
+        assert (await asked).status == 404
+
+    play(main)
+
+
+def test_a_connection_that_is_older_than_the_daemon_is_served(tmp_path):
+    """Libraries take long to load on a small instance."""
+    path = tmp_path / "settings"
+    path.write_text('[listen]\noutbound = "127.0.0.1:0"\n')
+    early_socket = early.listen(path)
+
+    async def main():
+        asked = asyncio.create_task(ask(early_socket.getsockname()[1], "/a"))
+        await asyncio.sleep(0.05)
+        agent = agent_of()
+        agent.configure(TABLE)
+        await agent.start(early_socket)
+        assert (await asked).status == 404
+
+    play(main)
+
+
+def test_settings_that_can_not_be_read_open_no_port(tmp_path):
+    path = tmp_path / "settings"
+    for text in ("", "[listen", '[listen]\noutbound = "nowhere"', "listen = 3"):
+        path.write_text(text)
+        assert early.listen(path) is None
+    assert early.listen(tmp_path / "none") is None
+
+
 def test_an_older_configuration_never_comes_back():
     async def main():
         agent = agent_of()
@@ -113,6 +155,29 @@
     play(main)
 
 
+def test_a_daemon_is_settled_once_its_endpoint_is_listed():
+    async def main():
+        agent = agent_of()
+        assert not agent.is_settled
+        agent.members.put(
+            directory.KnownEndpoint(
+                "e", "dispatch", "east", "east-a", "10.9.9.9", 9, LIVE, 9
+            )
+        )
+        assert agent.is_settled
+
+    play(main)
+
+
+def test_a_daemon_that_is_never_listed_waits_a_while():
+    async def main():
+        agent = agent_of()
+        agent._started_at -= agent_module.SETTLE_S
+        assert agent.is_settled
+
+    play(main)
+
+
 def test_settings_that_change_are_in_force_at_once():
     async def main():
         agent = agent_of()
--- a/tests/test_relay_items.py
+++ b/tests/test_relay_items.py
@@ -97,6 +97,20 @@
     assert replica.may_try(relay.FRESH_S + 0.1)
 
 
+def test_a_daemon_that_starts_gives_its_readers_time_to_answer():
+    """A whole fleet that restarts doesn't ask the platform, but its readers."""
+    replica = Follower().replica
+    replica.take_all([item("a", 1)], 1)
+    tried = [replica.may_try(0.1 * step) for step in range(30)]
+    assert not any(tried[:10])
+    assert any(tried)
+    heard = Follower().replica
+    heard.take_all([item("a", 1)], 1)
+    assert not heard.may_try(0.0)
+    heard.hear(told(1), 0.5)
+    assert not heard.may_try(1.5)
+
+
 def test_while_readers_live_but_can_not_read_followers_ask_seldom():
     """The platform is down: followers don't all ask it at once, and again."""
     replica = Follower().replica
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -78,6 +78,7 @@
     """Takes the place of the agent: it always reads."""
 
     reads_platform = True
+    is_settled = True
 
     def __init__(self):
         self.content_by_key = {}
@@ -130,6 +131,25 @@
     play(steps)
 
 
+def test_a_fleet_that_starts_reads_what_may_be_old_until_it_is_listed(monkeypatch):
+    """Each daemon would else watch every other one register."""
+    monkeypatch.setattr(store, "STALE_INTERVAL_S", 0.001)
+
+    async def steps(held, agent, until):
+        agent.is_settled = False
+        held.put("a", b"1")
+        await until(lambda: "a" in agent.content_by_key)
+        held.put("b", b"2")
+        await until(lambda: "b" in agent.content_by_key)
+        assert set(held.calls) == {("kv-range", "stale")}
+        agent.is_settled = True
+        held.put("c", b"3")
+        await until(lambda: "c" in agent.content_by_key)
+        assert "kv-watch" in {name for name, _ in held.calls}
+
+    play(steps)
+
+
 def test_a_history_that_is_gone_is_made_good_by_an_exact_reading():
     """Stale readings may lag for seconds: they would bring the old state back."""
 
