--- a/src/savoryhollow/admission/objectives.py
+++ b/src/savoryhollow/admission/objectives.py
@@ -33,6 +33,8 @@
 HOLD_COST_S = 0.12
 # Time after which a slow spell counts as lasting, so that nothing waits for it, in s.
 LASTING_S = 0.7
+# Time without a reading after which a slow one begins a new spell, in s.
+SPELL_GAP_S = 0.35
 # Times the slots that may wait before the least urgent is turned away.
 MAX_WAITING_PER_SLOT = 8
 
@@ -90,6 +92,7 @@
         self.waiting: list[Waiting] = []
         self.pace = 1.0
         self._slow_since: float | None = None
+        self._slow_seen_at = float("-inf")
         self._paces: collections.deque[tuple[float, float]] = collections.deque()
         self._work_by_kind: dict[str, estimates.ServiceTime] = {}
         self._overall = estimates.ServiceTime()
@@ -189,8 +192,16 @@
             self._paces.popleft()
         if pace < SLOW_RATIO * self.usual_pace:
             self._slow_since = None
-        elif self._slow_since is None:
+            return
+        if self._slow_since is None or self._begins_spell(now):
             self._slow_since = now
+        self._slow_seen_at = now
+
+    def _begins_spell(self, now: float) -> bool:
+        """Say whether a slow reading has nothing to do with the one before it."""
+        assert self._slow_since is not None
+        lasted = self._slow_seen_at - self._slow_since > LASTING_S
+        return not lasted and now - self._slow_seen_at > SPELL_GAP_S
 
     @property
     def usual_pace(self) -> float:
--- a/src/savoryhollow/membership/directory.py
+++ b/src/savoryhollow/membership/directory.py
@@ -112,6 +112,14 @@
     #   Questions
     # -----------------------------------------------------------------------
 
+    def find(self, host: str, service: str) -> KnownEndpoint | None:
+        """Return the endpoint of an instance, if it is one of a service.
+
+        :param host: the IP number of the instance.
+        """
+        listed = self.endpoints_by_host.get(host)
+        return listed if listed is not None and listed.service == service else None
+
     def live(self, service: str) -> list[KnownEndpoint]:
         """Return the endpoints of a service that take new work."""
         return [
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -34,7 +34,7 @@
         self.agent = agent_module.Agent(
             settings.agent, headers.DIALECT, self.take_items
         )
-        self.follower = store.StoreFollower(settings.store, self.agent)
+        self.follower = store.StoreFollower(settings.store, self.agent.readers)
 
     def take_items(self, items: list[messages.PublishedItem]) -> None:
         """Take in what is new or changed."""
--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -8,7 +8,7 @@
 from savoryhollow.http1 import backends, messages
 from savoryhollow.observe import events
 from savoryhollow.platform import documents
-from savoryhollow.proxy import agent as agent_module
+from savoryhollow.proxy import reading
 from savoryhollow.settings import models
 
 __all__ = ["StoreFollower"]
@@ -33,17 +33,17 @@
 
 
 class StoreFollower:
-    """Brings what the store holds to an agent, while it is the agent's turn to read.
+    """Brings what the store holds to a daemon, while it is its turn to read.
 
     :param target: the address of the store.
-    :param agent: the daemon.
+    :param readers: say whose turn it is, and have what is known.
     """
 
-    def __init__(self, target: models.Target, agent: agent_module.Agent):
+    def __init__(self, target: models.Target, readers: reading.Readers):
         self._pool = backends.Pool(target.host, target.port)
         self._host = f"{target.host}:{target.port}"
-        self._agent = agent
-        self._replica = agent.replica
+        self._readers = readers
+        self._replica = readers.replica
         self._clock = asyncio.get_running_loop().time
         self._answer_limit_s = FIRST_ANSWER_LIMIT_S
         self._in_contact: bool | None = None
@@ -61,7 +61,7 @@
             except errors.SavoryhollowError as error:
                 self._note_contact(False, str(error))
                 if self._replica.as_of < 0:
-                    self._agent.ask_seeds()
+                    self._readers.ask_seeds()
                 await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
                 pause_s = min(MAX_PAUSE_S, 2 * pause_s)
 
@@ -74,17 +74,17 @@
     def _is_due(self) -> bool:
         if self._replica.as_of < 0:
             return True
-        if not self._agent.is_settled:
+        if not self._readers.is_settled:
             return not self._replica.is_fresh(self._clock())
-        return self._agent.reads_platform or self._replica.may_try(self._clock())
+        return self._readers.reads_platform or self._replica.may_try(self._clock())
 
     async def _read(self) -> None:
         # A read tells sooner than a watch whether the store is back.
         known = self._replica.as_of
-        if known < 0 or not self._agent.is_settled:
+        if known < 0 or not self._readers.is_settled:
             # What is a little old is made good by the watch that follows.
             await self._read_all({"stale_ok": "1"})
-            if not self._agent.is_settled:
+            if not self._readers.is_settled:
                 await asyncio.sleep(STALE_INTERVAL_S)
         elif self._in_contact is False or not await self._watch(known):
             await self._read_all({})
@@ -105,7 +105,7 @@
             after = page.items[-1].key
         self._note_contact(True)
         self._replica.take_all([documents.publish(one) for one in items], as_of)
-        self._agent.tell_followers()
+        self._readers.tell_followers()
 
     async def _watch(self, revision: int) -> bool:
         """Take in what changes; return False where that history is gone."""
@@ -117,7 +117,7 @@
         changes = documents.decode_changes(body)
         items = [documents.publish(change) for change in changes.events]
         self._replica.take(items, changes.as_of)
-        self._agent.tell_followers()
+        self._readers.tell_followers()
         if items:
             # Changes come in bursts; each call is dear.
             await asyncio.sleep(GATHER_S)
@@ -155,4 +155,4 @@
             events.emit(events.Event.STORE_REGAINED)
         else:
             events.emit(events.Event.STORE_UNREACHABLE, detail=detail)
-            self._agent.tell_followers()
+            self._readers.tell_followers()
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -21,6 +21,7 @@
     inner,
     links,
     options,
+    reading,
     relay,
     router,
     running,
@@ -42,10 +43,6 @@
 REPEAT_INTERVAL_S = 0.5
 # Loads that are sent in a second, to all daemons together, at most.
 REPORTS_PER_S = 60
-# How often a reader says that it is well, in s.
-RELAY_INTERVAL_S = 0.5
-# Time after the start in which the own endpoint should come to be listed, in s.
-SETTLE_S = 5.0
 # How often lists and timers are looked after, in s.
 UPKEEP_INTERVAL_S = 0.1
 # Room in a message beside the largest body, in bytes.
@@ -89,7 +86,6 @@
         self._started_at = self._clock()
         self._first_endpoint_id: str | None = None
         self._seen_generation = -1
-        self._seed_links: dict[str, links.Link] = {}
         pool = backends.Pool(settings.backend.host, settings.backend.port)
         self.runner = running.BackendRunner(dialect, pool)
         self.gate = gate_module.Gate(self.runner, self._clock, self.identify)
@@ -104,6 +100,9 @@
         self._inner = inner.InnerPort(
             self.gate, FIRST_BODY_BYTES + MESSAGE_MARGIN_BYTES, self.replica
         )
+        self.readers = reading.Readers(
+            settings, self.members, self.replica, self.router, self._inner, self._clock
+        )
         self.runner.on_load = self._note_load
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -167,7 +166,7 @@
         self._tasks.append(tasks.keep_running("keep_up", self._keep_up))
         self._tasks.append(tasks.keep_running("await_pace", self.gate.await_pace))
         self._tasks.append(asyncio.create_task(self._meet_backend()))
-        self._tasks.append(tasks.keep_running("follow_readers", self._keep_following))
+        self._tasks.append(tasks.keep_running("follow_readers", self.readers.follow))
         events.emit(
             events.Event.DAEMON_STARTED,
             service=settings.service,
@@ -220,6 +219,7 @@
             if getattr(before, field.name) != getattr(settings, field.name)
         ]
         self.front.service = settings.service
+        self.readers.settings = settings
         self.router.limit_repeats(settings.retry_rules)
         if "backend" in changed:
             self.runner.connect_to(settings.backend.host, settings.backend.port)
@@ -257,10 +257,7 @@
 
     def own_endpoint(self) -> directory.KnownEndpoint | None:
         """Return the entry of the backend server beside this process."""
-        listed = self.members.endpoints_by_host.get(self.settings.backend.host)
-        if listed is None or listed.service != self.settings.service:
-            return None
-        return listed
+        return self.members.find(self.settings.backend.host, self.settings.service)
 
     def identify(self, service: str) -> str | None:
         """Return the endpoint that runs the requests of a service here.
@@ -279,65 +276,6 @@
             return answering
         return answering if answering == self._first_endpoint_id else None
 
-    # -----------------------------------------------------------------------
-    #   Who reads the platform
-    # -----------------------------------------------------------------------
-
-    @property
-    def reads_platform(self) -> bool:
-        """Whether this daemon is one of those that read for their region."""
-        return self.settings.backend.host in self._reader_hosts()
-
-    @property
-    def is_settled(self) -> bool:
-        """Whether the list of endpoints can tell who reads for this region."""
-        late = self._clock() >= self._started_at + SETTLE_S
-        return late or self.own_endpoint() is not None
-
-    def tell_followers(self) -> None:
-        """Tell the daemons that follow this one what is new here, and that it lives."""
-        self._inner.relay(self.replica.news())
-
-    def ask_seeds(self) -> None:
-        """Learn from other daemons what the platform doesn't tell this one."""
-        for seed in self.settings.seeds:
-            if seed.host == self.settings.backend.host or seed.host in self._seed_links:
-                continue
-            link = self.router.open_link("", seed.host, seed.port)
-            link.follow()
-            self._seed_links[seed.host] = link
-
-    def _reader_hosts(self) -> list[str]:
-        hosts = {self.settings.backend.host}
-        for endpoint in self.members.endpoints_by_id.values():
-            link = self.router.links_by_host.get(endpoint.host)
-            reachable = link is None or not link.failing
-            if endpoint.region == self.settings.region and reachable:
-                hosts.add(endpoint.host)
-        return relay.rank_readers(hosts)[: relay.READERS]
-
-    async def _keep_following(self) -> None:
-        was_reader = False
-        while True:
-            is_reader = self.reads_platform
-            if is_reader is not was_reader:
-                events.emit(events.Event.READER_CHANGED, is_reader=is_reader)
-                was_reader = is_reader
-            if is_reader:
-                self.tell_followers()
-            self._follow_readers()
-            if self.replica.as_of >= 0:
-                while self._seed_links:
-                    self._seed_links.popitem()[1].close()
-            await asyncio.sleep(RELAY_INTERVAL_S)
-
-    def _follow_readers(self) -> None:
-        for host in self._reader_hosts():
-            endpoint = self.members.endpoints_by_host.get(host)
-            link = None if endpoint is None else self.router.link(endpoint)
-            if link is not None:
-                link.follow()
-
     def _note_contact(self, good: bool) -> None:
         if good:
             self.members.regain_source(self._clock())
--- a/src/savoryhollow/proxy/attempts.py
+++ b/src/savoryhollow/proxy/attempts.py
@@ -28,6 +28,7 @@
     :param maybe_run: the first attempt that may have run.
     :param failure: the failure that a backend server answered.
     :param bounced: endpoints where it could not start at once.
+    :param full: how many of these had no free slot.
     :param patient: whether it waits from now on.
     """
 
@@ -37,6 +38,7 @@
     maybe_run: calls.Outcome | None = None
     failure: calls.Served | None = None
     bounced: set[str] = dataclasses.field(default_factory=set)
+    full: int = 0
     patient: bool = False
     last: calls.Outcome | None = None
     retry_after_ms: int = NO_ENDPOINT_RETRY_MS
--- a/src/savoryhollow/proxy/gate.py
+++ b/src/savoryhollow/proxy/gate.py
@@ -25,7 +25,9 @@
 # Time that is left of a slow spell when it is met, on average, in us.
 SPELL_LEFT_US = 150_000
 # Age up to which what it said counts as fresh, in s.
-PACE_AGE_S = 0.04
+PACE_AGE_S = 0.015
+# How often the pace is asked for while requests wait for the end of a spell, in s.
+PACE_INTERVAL_S = 0.04
 # Age at which what a backend server said of its pace counts for nothing, in s.
 PACE_LIMIT_S = 0.5
 
@@ -233,8 +235,8 @@
         while True:
             await self.holding.wait()
             while self.queue.waiting and self.queue.is_in_spell(self._clock()):
-                await asyncio.sleep(PACE_AGE_S)
-                await self._runner.refresh(PACE_AGE_S / 2)
+                await asyncio.sleep(PACE_INTERVAL_S)
+                await self._runner.refresh(PACE_INTERVAL_S / 2)
             self.holding.clear()
             # A spell that lasts, or a backend server that is silent, holds nothing up.
             self._grant()
--- /dev/null
+++ b/src/savoryhollow/proxy/judging.py
@@ -0,0 +1,113 @@
+"""What an attempt came to, and what it says of its endpoint.
+
+Pure computation but for its log lines: the caller passes the instant.
+"""
+
+from savoryhollow import calls, errors
+from savoryhollow.membership import table
+from savoryhollow.observe import events
+from savoryhollow.proxy import attempts, gate
+from savoryhollow.recovery import retrying
+from savoryhollow.routing import placement
+from savoryhollow.wire import messages
+
+__all__ = ["judge", "learn"]
+
+# Refusals of a gate that say nothing against its endpoint.
+_HEALTHY_REFUSALS = frozenset(calls.NotRunReason) - {
+    calls.NotRunReason.UNREACHABLE,
+    calls.NotRunReason.MISDIRECTED,
+}
+# Refusals by the backend server itself; the request has reached it.
+_BY_BACKEND = frozenset((calls.NotRunReason.REJECTED, calls.NotRunReason.MISDIRECTED))
+
+
+def judge(
+    call: calls.Call,
+    endpoint: table.Endpoint,
+    answer: gate.Answer | errors.WireError,
+    progress: attempts.Progress,
+    now: float,
+) -> calls.Outcome:
+    """Return what an attempt came to, and note it in the progress of its call.
+
+    :param answer: the gate's answer, or the error in its place.
+    """
+    request_id = call.request_id
+    if isinstance(answer, messages.ServedMessage):
+        progress.sent += 1
+        served = calls.Served(
+            request_id,
+            endpoint.endpoint_id,
+            answer.status,
+            answer.headers,
+            answer.body,
+        )
+        if served.status >= retrying.HTTP_FAILURE:
+            progress.failure = served
+        return served
+    if isinstance(answer, messages.NotRunMessage):
+        progress.sent += answer.reason in _BY_BACKEND
+        progress.retry_after_ms = answer.retry_after_ms
+        return calls.NotRun(request_id, answer.reason, answer.retry_after_ms)
+    if isinstance(answer, errors.PeerUnreachableError):
+        reason = calls.NotRunReason.UNREACHABLE
+        return calls.NotRun(request_id, reason, attempts.NO_ENDPOINT_RETRY_MS)
+    progress.sent += 1
+    detail = str(answer) if isinstance(answer, Exception) else answer.detail
+    outcome = _unknown(call, endpoint, detail, now)
+    progress.maybe_run = progress.maybe_run or outcome
+    return outcome
+
+
+def _unknown(call, endpoint, detail: str, now: float) -> calls.Outcome:
+    if now >= call.deadline:
+        return calls.TimedOut(call.request_id, endpoint.endpoint_id)
+    origin = calls.Origin("", 0, 0)
+    ticket = calls.Ticket(call.request_id, endpoint.endpoint_id, "", origin)
+    return calls.Unknown(call.request_id, ticket, detail)
+
+
+def learn(
+    candidate: placement.Candidate,
+    answer: gate.Answer | errors.WireError,
+    outcome: calls.Outcome,
+    started: float,
+    now: float,
+) -> None:
+    """Take what an attempt says of its endpoint into the evidence.
+
+    :param started: the instant at which the attempt began.
+    """
+    evidence = candidate.evidence
+    trusted = evidence.trusted
+    report = getattr(answer, "load", None)
+    if report is not None:
+        evidence.observe(report, now)
+    if isinstance(outcome, calls.Served):
+        if outcome.status >= retrying.HTTP_FAILURE:
+            evidence.fail(now, reached=True)
+        else:
+            evidence.succeed(now - started, now)
+    elif isinstance(outcome, calls.NotRun):
+        if outcome.reason not in _HEALTHY_REFUSALS:
+            evidence.fail(now, reached=False)
+    elif not isinstance(outcome, calls.TimedOut):
+        evidence.fail(now, reached=True)
+    if trusted is not evidence.trusted:
+        _log_trust(candidate, outcome)
+
+
+def _log_trust(candidate: placement.Candidate, outcome: calls.Outcome) -> None:
+    evidence = candidate.evidence
+    event = events.Event.ENDPOINT_DISTRUSTED
+    if evidence.trusted:
+        event = events.Event.ENDPOINT_TRUSTED
+    events.emit(
+        event,
+        endpoint_id=candidate.endpoint.endpoint_id,
+        request_id=outcome.request_id,
+        failure_share=round(evidence.failure_share, 2),
+        backoff_ms=round(1000 * evidence.backoff_s),
+        detail=attempts.describe(outcome),
+    )
--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -9,7 +9,7 @@
 from savoryhollow.budgets import shared
 from savoryhollow.membership import directory
 from savoryhollow.observe import events
-from savoryhollow.proxy import attempts, links, options
+from savoryhollow.proxy import attempts, judging, links, options
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.recovery import retrying
 from savoryhollow.routing import evidence as evidence_module
@@ -20,15 +20,10 @@
 
 # Gates that are asked for one request before it is refused.
 MAX_GATES_ASKED = 4
-# Gates that are asked whether a request can start there at once.
+# Gates without a free slot that are asked whether a request can start at once, and
+# gates of any kind: those in a slow spell soon have one beside them that isn't.
 MAX_BOUNCES = 3
-# Refusals of a gate that say nothing against its endpoint.
-_HEALTHY_REFUSALS = frozenset(calls.NotRunReason) - {
-    calls.NotRunReason.UNREACHABLE,
-    calls.NotRunReason.MISDIRECTED,
-}
-# Refusals by the backend server itself; the request has reached it.
-_BY_BACKEND = frozenset((calls.NotRunReason.REJECTED, calls.NotRunReason.MISDIRECTED))
+MAX_BOUNCES_IN_SPELLS = 6
 
 
 class GiveUp(enum.Enum):
@@ -200,7 +195,7 @@
             skipped = progress.tried | progress.bounced
             candidates = self._candidates(call, skipped)
             near_left = any(self._policy.is_near(c) for c in candidates)
-            if near_left and len(progress.bounced) < MAX_BOUNCES:
+            if near_left and _may_bounce(progress):
                 return self._policy.choose(candidates, need)
             progress.patient = bool(progress.bounced)
         candidates = self._candidates(call, progress.tried)
@@ -297,13 +292,15 @@
             answer = await self._send(endpoint, message, call.deadline)
         finally:
             evidence.end()
-        outcome = self._judge(call, endpoint, answer, progress)
+        ended = self._clock()
+        outcome = judging.judge(call, endpoint, answer, progress, ended)
         if getattr(outcome, "reason", None) is calls.NotRunReason.NOT_NOW:
             progress.bounced.add(endpoint.endpoint_id)
+            progress.full += not answer.load.spell_us
         else:
             progress.tried.add(endpoint.endpoint_id)
             progress.asked += 1
-        self._learn(placed.candidate, answer, outcome, started)
+        judging.learn(placed.candidate, answer, outcome, started, ended)
         events.emit(
             events.Event.ATTEMPT_ENDED,
             request_id=call.request_id,
@@ -314,7 +311,7 @@
             report_age_ms=attempts.report_age_ms(placed),
             candidates=placed.candidates,
             membership=self._members.generation,
-            took_ms=round(1000 * (self._clock() - started)),
+            took_ms=round(1000 * (ended - started)),
             outcome=type(outcome).__name__,
             detail=attempts.describe(outcome),
         )
@@ -333,75 +330,10 @@
         except errors.WireError as error:
             return error
 
-    def _judge(self, call, endpoint, answer, progress) -> calls.Outcome:
-        request_id = call.request_id
-        if isinstance(answer, messages.ServedMessage):
-            progress.sent += 1
-            served = calls.Served(
-                request_id,
-                endpoint.endpoint_id,
-                answer.status,
-                answer.headers,
-                answer.body,
-            )
-            if served.status >= retrying.HTTP_FAILURE:
-                progress.failure = served
-            return served
-        if isinstance(answer, messages.NotRunMessage):
-            progress.sent += answer.reason in _BY_BACKEND
-            progress.retry_after_ms = answer.retry_after_ms
-            return calls.NotRun(request_id, answer.reason, answer.retry_after_ms)
-        if isinstance(answer, errors.PeerUnreachableError):
-            reason = calls.NotRunReason.UNREACHABLE
-            return calls.NotRun(request_id, reason, attempts.NO_ENDPOINT_RETRY_MS)
-        progress.sent += 1
-        detail = str(answer) if isinstance(answer, Exception) else answer.detail
-        outcome = self._unknown(call, endpoint, detail)
-        progress.maybe_run = progress.maybe_run or outcome
-        return outcome
 
-    def _unknown(self, call, endpoint, detail: str) -> calls.Outcome:
-        if self._clock() >= call.deadline:
-            return calls.TimedOut(call.request_id, endpoint.endpoint_id)
-        origin = calls.Origin("", 0, 0)
-        ticket = calls.Ticket(call.request_id, endpoint.endpoint_id, "", origin)
-        return calls.Unknown(call.request_id, ticket, detail)
-
-    def _learn(
-        self, candidate: placement.Candidate, answer, outcome, started: float
-    ) -> None:
-        now = self._clock()
-        evidence = candidate.evidence
-        trusted = evidence.trusted
-        report = getattr(answer, "load", None)
-        if report is not None:
-            evidence.observe(report, now)
-        if isinstance(outcome, calls.Served):
-            if outcome.status >= retrying.HTTP_FAILURE:
-                evidence.fail(now, reached=True)
-            else:
-                evidence.succeed(now - started, now)
-        elif isinstance(outcome, calls.NotRun):
-            if outcome.reason not in _HEALTHY_REFUSALS:
-                evidence.fail(now, reached=False)
-        elif not isinstance(outcome, calls.TimedOut):
-            evidence.fail(now, reached=True)
-        if trusted is not evidence.trusted:
-            self._log_trust(candidate, outcome)
-
-    def _log_trust(self, candidate: placement.Candidate, outcome) -> None:
-        evidence = candidate.evidence
-        event = events.Event.ENDPOINT_DISTRUSTED
-        if evidence.trusted:
-            event = events.Event.ENDPOINT_TRUSTED
-        events.emit(
-            event,
-            endpoint_id=candidate.endpoint.endpoint_id,
-            request_id=outcome.request_id,
-            failure_share=round(evidence.failure_share, 2),
-            backoff_ms=round(1000 * evidence.backoff_s),
-            detail=attempts.describe(outcome),
-        )
+def _may_bounce(progress: attempts.Progress) -> bool:
+    few = len(progress.bounced) < MAX_BOUNCES_IN_SPELLS
+    return few and progress.full < MAX_BOUNCES
 
 
 def _untried(candidate: placement.Candidate, tried: set[str]) -> bool:
--- a/src/savoryhollow/proxy/state.py
+++ b/src/savoryhollow/proxy/state.py
@@ -39,7 +39,7 @@
         "instance": agent.settings.instance,
         "service": agent.settings.service,
         "stopping": agent.stopping,
-        "reads_platform": agent.reads_platform,
+        "reads_platform": agent.readers.reads_platform,
         "figures": {name: one for name, (_, one) in figures(agent).items()},
         "endpoints_by_id": {
             endpoint_id: {
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -339,6 +339,15 @@
     assert asked == router_module.MAX_BOUNCES + 1
 
 
+def test_slow_spells_are_left_for_one_gate_after_the_other():
+    """A third of the instances is slow at a time, and one that isn't is soon found."""
+    load = dataclasses.replace(LOAD, spell_us=150_000)
+    slow = messages.NotRunMessage("", calls.NotRunReason.NOT_NOW, 80, load)
+    links = [Link(slow) for _ in range(router_module.MAX_BOUNCES + 2)]
+    assert isinstance(outcome_of(*links, Link(SERVED)), calls.Served)
+    assert not any(one.patient for link in links for one in link.calls)
+
+
 def test_slow_spells_everywhere_make_a_request_wait_instead_of_failing():
     slow = refused(calls.NotRunReason.NOT_NOW)
     links = [Link(slow, SERVED), Link(slow, SERVED)]
