--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -274,6 +274,8 @@
         listed = self.own_endpoint()
         if listed is not None and listed.endpoint_id == answering:
             return answering
+        if self._first_endpoint_id is None and self._is_young:
+            self._first_endpoint_id = answering
         return answering if answering == self._first_endpoint_id else None
 
     def _note_contact(self, good: bool) -> None:
@@ -282,13 +284,15 @@
         else:
             self.members.lose_source(self._clock())
 
+    @property
+    def _is_young(self) -> bool:
+        """Whether the address beside this process is the one it was started for."""
+        return self._clock() < self._started_at + self.settings.address_kept_s
+
     async def _meet_backend(self) -> None:
         """Learn which endpoint answers here when this process starts."""
-        while self._clock() < self._started_at + self.settings.address_kept_s:
+        while self._is_young and self.runner.endpoint_id is None:
             await self.runner.probe()
-            if self.runner.endpoint_id is not None:
-                self._first_endpoint_id = self.runner.endpoint_id
-                return
             await asyncio.sleep(UPKEEP_INTERVAL_S)
 
     async def _keep_up(self) -> None:
--- a/src/savoryhollow/routing/nearby.py
+++ b/src/savoryhollow/routing/nearby.py
@@ -20,7 +20,7 @@
 
 __all__ = ["Need", "NearbyPolicy", "Placed", "expected_cost_s"]
 
-# Endpoints that are compared for one request.
+# Endpoints that are compared for one request, of the own zone and of others each.
 SAMPLE_SIZE = 3
 # Part of the time to spare that another zone is held to cost, and its limits in s.
 ZONE_SHARE = 0.2
@@ -157,7 +157,9 @@
     def _best(self, pool: list[placement.Candidate], need: Need) -> Placed | None:
         if not pool:
             return None
-        sample = self._rng.sample(pool, min(SAMPLE_SIZE, len(pool)))
+        own = [c for c in pool if c.endpoint.zone == self._vantage.zone]
+        others = [c for c in pool if c.endpoint.zone != self._vantage.zone]
+        sample = self._draw(own) + self._draw(others)
         costs = [
             expected_cost_s(c, need.now) + self._distance_s(c, need) for c in sample
         ]
@@ -165,6 +167,9 @@
         best = sample[costs.index(cost_s)]
         return Placed(best, cost_s, need.now - best.evidence.reported_at, len(pool))
 
+    def _draw(self, pool: list[placement.Candidate]) -> list[placement.Candidate]:
+        return self._rng.sample(pool, min(SAMPLE_SIZE, len(pool)))
+
     def _distance_s(self, candidate: placement.Candidate, need: Need) -> float:
         if not self.is_near(candidate):
             return REGION_COST_S
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -178,6 +178,29 @@
     play(main)
 
 
+def test_requests_run_under_the_new_id_from_the_first_answer_of_a_new_endpoint():
+    """Everything restarts at one time, and others know it by its old id."""
+
+    async def main():
+        agent = agent_of(address_kept_s=2.0)
+        agent.runner.endpoint_id = "new"
+        assert agent.identify("dispatch") == "new"
+        assert agent.identify("stock") is None
+        agent.runner.endpoint_id = "newer"
+        assert agent.identify("dispatch") is None
+
+    play(main)
+
+
+def test_an_endpoint_that_answers_later_is_not_known_by_that_alone():
+    async def main():
+        agent = agent_of(address_kept_s=0.0)
+        agent.runner.endpoint_id = "new"
+        assert agent.identify("dispatch") is None
+
+    play(main)
+
+
 def test_settings_that_change_are_in_force_at_once():
     async def main():
         agent = agent_of()
--- a/tests/test_nearby.py
+++ b/tests/test_nearby.py
@@ -32,8 +32,8 @@
     return placement.Candidate(endpoint, known)
 
 
-def choose(*candidates, order=1, left_s=0.6, now=NOW):
-    policy = nearby.NearbyPolicy(VANTAGE, random.Random(3))
+def choose(*candidates, order=1, left_s=0.6, now=NOW, rng=None):
+    policy = nearby.NearbyPolicy(VANTAGE, rng or random.Random(3))
     need = nearby.Need(now, now + left_s, order)
     placed = policy.choose(list(candidates), need)
     return placed and placed.candidate.endpoint.endpoint_id
@@ -110,3 +110,15 @@
         counts[placed.candidate.endpoint.endpoint_id] += 1
     assert max(counts.values()) <= 5
     assert len(counts) == 4
+
+
+def test_work_stays_in_its_zone_while_a_third_of_the_zone_is_slow():
+    """Bytes between zones are paid for, and the next zone has slow spells too."""
+    own = [candidate(str(i), busy=0) for i in range(4)]
+    own += [candidate(str(i), busy=0, spell_us=150_000) for i in range(4, 6)]
+    others = [candidate(str(i), "east-b", busy=0) for i in range(6, 11)]
+    rng = random.Random(3)
+    chosen = [choose(*own, *others, rng=rng) for _ in range(300)]
+    crossing = sum(int(endpoint_id) >= 6 for endpoint_id in chosen)
+    assert crossing <= 3
+    assert len(set(chosen)) >= 4
