--- a/src/savoryhollow/proxy/front.py
+++ b/src/savoryhollow/proxy/front.py
@@ -3,10 +3,8 @@
 import asyncio
 import collections.abc
 import dataclasses
-import math
 
 from savoryhollow import calls
-from savoryhollow.admission import returning
 from savoryhollow.configuration import routes
 from savoryhollow.http1 import messages
 from savoryhollow.observe import events
@@ -31,14 +29,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Accepted:
-    """A request with the route that it takes.
-
-    :param spent_s: how long its caller has tried before, in s.
-    """
+    """A request with the route that it takes."""
 
     call: calls.Call
     route: routes.Route
-    spent_s: float
 
 
 class Front:
@@ -68,14 +62,12 @@
         self._configured = asyncio.Event()
         self._waits_until = clock() + FIRST_CONFIGURATION_S
         self._turns = routes.ShareTurns()
-        self._waits = returning.Waits()
 
     def configure(self, table: routes.RouteTable) -> None:
         """Put a table of routes in force."""
         self.table = table
         self._configured.set()
         self._turns.keep_only(table)
-        self._waits.keep_only({route.name for route in table.routes})
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answer one request; cancelled where its caller has left."""
@@ -122,10 +114,6 @@
             return self._turn_away(request_id, 404, "no-route")
         wait_s = _read_wait_s(messages.find(request.headers, names.deadline_ms))
         limit_s = min(wait_s - RETURN_S, route.timeout_s)
-        spent_s = 0.0
-        if math.isfinite(wait_s):
-            spent_s = self._waits.spent_s(route.name, wait_s)
-        first_sent_at = request.received_at - spent_s
         call = calls.Call(
             request_id=request_id[:MAX_ID_CHARACTERS],
             service=self._turns.take(route),
@@ -140,9 +128,9 @@
             headers=self._passed_on(request),
             body=request.body,
             order=route.order,
-            objective=first_sent_at + route.objective_s - RETURN_S,
+            objective=request.received_at + route.objective_s - RETURN_S,
         )
-        return _Accepted(call, route, spent_s)
+        return _Accepted(call, route)
 
     def _passed_on(self, request: messages.Request) -> tuple[calls.Header, ...]:
         name = self._dialect.caller_service
@@ -215,7 +203,6 @@
             reason=getattr(outcome, "reason", None),
             detail=getattr(outcome, "detail", None),
             took_ms=round(1000 * took_s),
-            spent_ms=round(1000 * accepted.spent_s),
             version=self.table.version if self.table is not None else None,
         )
 
