--- /dev/null
+++ b/bench/recorded_days.py
@@ -0,0 +1,126 @@
+"""Where the worth of recorded days went: ``python -m bench.recorded_days``.
+
+Reads the entries that the users' bench leaves in the journal, and prints the loss of
+each day by its causes: what callers missed, and what was spent.
+"""
+
+import argparse
+import collections
+import pathlib
+import sys
+
+import matplotlib.figure
+import msgspec
+
+__all__ = ["RecordedDay", "losses_by_cause", "main", "read_days"]
+
+JOURNAL = pathlib.Path(__file__).parent.parent / "journal"
+# Causes that a table or a plot names; smaller ones are added up.
+NAMED_CAUSES = 6
+OTHER = "other"
+PLOT_INCHES = (11, 5)
+
+
+class RecordedDay(msgspec.Struct, frozen=True):
+    """One day as the journal has it.
+
+    :param worth: what callers got, less what was spent.
+    :param mark: the worth from which a day counts in full, if it has one.
+    :param parts: what the worth is made of: name, weight and value, 1 at best.
+    :param prices: what was spent: name, amount, and how much worth it took.
+    """
+
+    name: str
+    worth: float = msgspec.field(name="G")
+    mark: float | None = msgspec.field(name="top", default=None)
+    parts: list[tuple[str, float, float]] = []
+    prices: list[tuple[str, float, float]] = []
+    served: float = 0.0
+    refused: float = 0.0
+    failed: float = 0.0
+
+
+class _Entry(msgspec.Struct, frozen=True):
+    id: str
+    cmd: str
+    site: str | None = None
+    days: list[RecordedDay] | None = None
+
+
+def read_days(journal: pathlib.Path, command: str) -> dict[str, list[_Entry]]:
+    """Return the entries of one command of the users' bench by site, oldest first.
+
+    :param journal: the folder of entries.
+    """
+    entries_by_site: dict[str, list[_Entry]] = collections.defaultdict(list)
+    for path in sorted(journal.glob("*.json")):
+        entry = msgspec.json.decode(path.read_bytes(), type=_Entry)
+        if entry.cmd == command and entry.days:
+            entries_by_site[entry.site or ""].append(entry)
+    return dict(entries_by_site)
+
+
+def losses_by_cause(day: RecordedDay) -> dict[str, float]:
+    """Return the worth that a day lost to each cause, the largest first."""
+    losses = {name: weight * (1 - value) for name, weight, value in day.parts}
+    losses |= {name: price for name, _, price in day.prices}
+    ranked = sorted(losses.items(), key=lambda item: -item[1])
+    named = dict(ranked[:NAMED_CAUSES])
+    named[OTHER] = sum(loss for _, loss in ranked[NAMED_CAUSES:])
+    return named
+
+
+def _print_entry(site: str, entry: _Entry) -> None:
+    print(f"{site}, {entry.id}")
+    for day in entry.days or ():
+        mark = "" if day.mark is None else f" (mark {day.mark:.3f})"
+        print(
+            f"  {day.name:12} worth {day.worth:.3f}{mark}, in time {day.served:.3f},"
+            f" refused {day.refused:.3f}, failed {day.failed:.3f}"
+        )
+        causes = losses_by_cause(day).items()
+        print("    lost:", ", ".join(f"{name} {loss:.3f}" for name, loss in causes))
+
+
+def _plot(entries_by_site: dict[str, list[_Entry]], path: pathlib.Path) -> None:
+    """Draw the worth of each site's days over its entries."""
+    figure = matplotlib.figure.Figure(figsize=PLOT_INCHES)
+    axes = figure.subplots(1, len(entries_by_site), sharey=True, squeeze=False)
+    for axis, (site, entries) in zip(axes[0], entries_by_site.items(), strict=True):
+        worths_by_day: dict[str, dict[int, float]] = collections.defaultdict(dict)
+        for index, entry in enumerate(entries):
+            for day in entry.days or ():
+                if not day.name.startswith("fresh"):
+                    worths_by_day[day.name][index] = day.worth
+        for name, worths in worths_by_day.items():
+            axis.plot(list(worths), list(worths.values()), marker="o", label=name)
+        axis.set_title(site, fontsize="small")
+        axis.set_xlabel("score, oldest first")
+    axes[0][0].set_ylabel("worth of a day")
+    axes[0][-1].legend(fontsize="x-small")
+    figure.tight_layout()
+    figure.savefig(path, metadata={"Date": None})
+
+
+def main() -> int:
+    """Print the newest entry of each site, and draw all of them if asked.
+
+    :returns: the exit status.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--journal", type=pathlib.Path, default=JOURNAL)
+    parser.add_argument("--command", default="score")
+    parser.add_argument("--all", action="store_true", help="every entry, not the last")
+    parser.add_argument("--plot", type=pathlib.Path, help="an SVG file to draw")
+    options = parser.parse_args()
+    entries_by_site = read_days(options.journal, options.command)
+    for site, entries in entries_by_site.items():
+        for entry in entries if options.all else entries[-1:]:
+            _print_entry(site, entry)
+    if options.plot:
+        _plot(entries_by_site, options.plot)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
