--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -126,7 +126,6 @@
                 self.router.observe,
                 lambda message: self.replica.hear(message, self._clock()),
                 lambda: self.replica.as_of,
-                compresses=not near,
             )
             return links.Link(endpoint_id, host, port, shared)
 
--- a/src/savoryhollow/proxy/inner.py
+++ b/src/savoryhollow/proxy/inner.py
@@ -4,7 +4,6 @@
 
 import websockets
 import websockets.asyncio.server
-from websockets.extensions import permessage_deflate
 
 from savoryhollow import errors
 from savoryhollow.observe import events
@@ -15,12 +14,6 @@
 __all__ = ["InnerPort"]
 
 
-# What peers of other regions may ask for.
-COMPRESSION = permessage_deflate.ServerPerMessageDeflateFactory(
-    compress_settings={"memLevel": 4}
-)
-
-
 class InnerPort:
     """Takes requests from other daemons to the gate.
 
@@ -50,7 +43,6 @@
                 host,
                 port,
                 compression=None,
-                extensions=[COMPRESSION],
                 ping_interval=None,
                 max_size=self._max_message_bytes,
                 server_header=None,
--- a/src/savoryhollow/proxy/links.py
+++ b/src/savoryhollow/proxy/links.py
@@ -10,7 +10,6 @@
 
 import websockets
 import websockets.asyncio.client
-from websockets.extensions import permessage_deflate
 
 from savoryhollow import errors
 from savoryhollow.observe import events
@@ -19,13 +18,6 @@
 
 __all__ = ["Link", "LinkSettings"]
 
-# How links between regions are compressed; small windows, as each link has its own.
-WINDOW_BITS = 12
-COMPRESSION = permessage_deflate.ClientPerMessageDeflateFactory(
-    server_max_window_bits=WINDOW_BITS,
-    client_max_window_bits=WINDOW_BITS,
-    compress_settings={"memLevel": 4},
-)
 # Time that a peer may take to accept a link, in s.
 OPEN_TIMEOUT_S = 1.0
 # Shortest and longest pause before a link is opened again, in s.
@@ -49,7 +41,6 @@
     :param on_items: takes in what the platform has published; returns whether
         nothing is missing before it.
     :param known_revision: returns the revision up to which that is known here.
-    :param compresses: whether bytes are dearer than the time to compress them.
     """
 
     hello: messages.HelloMessage
@@ -57,7 +48,6 @@
     on_report: collections.abc.Callable[[str, messages.LoadReport], None]
     on_items: collections.abc.Callable[[messages.ItemsMessage], bool]
     known_revision: collections.abc.Callable[[], int]
-    compresses: bool
 
 
 class Link:
@@ -197,7 +187,6 @@
             close_timeout=OPEN_TIMEOUT_S,
             ping_interval=None,
             compression=None,
-            extensions=[COMPRESSION] if settings.compresses else None,
             max_size=settings.max_message_bytes,
             proxy=None,
             user_agent_header=None,
