Keep work off an instance that is slow for long and would make it late

Ruled out: placement by itself; its expected cost names the slow instance last, but those before it had been asked already. Change: a gate turns away work that its lasting pace would make late, so that its router lets it wait at a quicker one, and refuses at once what can't end by its deadline there. Short spells and the pace of a cold start are left out.

--- a/src/savoryhollow/admission/objectives.py
+++ b/src/savoryhollow/admission/objectives.py
@@ -35,6 +35,9 @@
 LASTING_S = 0.7
 # Time without a reading after which a slow one begins a new spell, in s.
 SPELL_GAP_S = 0.35
+# Pace from which an instance is avoided by work that it would make late; one that is
+# cold takes twice as long, and so do all others after a restart.
+LASTING_RATIO = 3.0
 # Times the slots that may wait before the least urgent is turned away.
 MAX_WAITING_PER_SLOT = 8
 
@@ -121,7 +124,10 @@
         :returns: the requests that are turned away for it, their ``refusal`` set.
         """
         entry.work_s = self.work_s(entry.kind, entry.objective - now)
-        if now + self.expected_wait_s(entry, now) > entry.latest_start:
+        last_start = (
+            entry.deadline - START_SHARE * self.lasting_pace(now) * entry.work_s
+        )
+        if now + self.expected_wait_s(entry, now) > last_start:
             entry.refusal = Refusal.TOO_LATE
             return [entry]
         self.waiting.append(entry)
@@ -212,6 +218,16 @@
         """Say whether work is slow at this moment, and will soon be quicker."""
         return self._slow_since is not None and now - self._slow_since <= LASTING_S
 
+    def lasting_pace(self, now: float) -> float:
+        """Return the pace that work has for long; 1 is usual, or a short spell."""
+        slow = self.pace >= LASTING_RATIO and not self.is_in_spell(now)
+        return self.pace if slow else 1.0
+
+    def delays(self, entry: Waiting, now: float) -> bool:
+        """Say whether a request would be late here for the pace alone."""
+        pace = self.lasting_pace(now)
+        return pace > 1.0 and now + pace * entry.work_s > entry.objective
+
     def holds(self, entry: Waiting, now: float) -> bool:
         """Say whether a request had better wait for a slow spell to end.
 
--- a/src/savoryhollow/proxy/gate.py
+++ b/src/savoryhollow/proxy/gate.py
@@ -228,7 +228,8 @@
     def _starts_at_once(self, entry: objectives.Waiting, now: float) -> bool:
         entry.work_s = self.queue.work_s(entry.kind, entry.objective - now)
         free = self.queue.busy < self.queue.slots and not self.queue.waiting
-        return free and not self.queue.holds(entry, now)
+        slow = self.queue.holds(entry, now) or self.queue.delays(entry, now)
+        return free and not slow
 
     async def await_pace(self) -> None:
         """Look for the end of each slow spell that requests wait for, for ever."""
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -137,6 +137,44 @@
     assert queue.take(0.1) is not None
 
 
+# ---------------------------------------------------------------------------
+#   Lasting slowness: an instance is twelve times as slow for seconds
+# ---------------------------------------------------------------------------
+
+
+def slow_queue(pace=12.0):
+    queue = queue_that_knows(slots=9, lookup=0.2)
+    for step in range(1, 30):
+        queue.note_pace(pace, 0.04 * step)
+    return queue
+
+
+def test_a_slow_instance_is_told_from_others_by_who_would_be_late_there():
+    queue = slow_queue()
+    urgent = entry(objective=2.0, deadline=4.0)
+    patient = entry("report", objective=9.0, deadline=12.0)
+    for one in (urgent, patient):
+        one.work_s = 0.2
+    assert queue.delays(urgent, 1.2)
+    assert not queue.delays(patient, 1.2)
+    assert not slow_queue(pace=2.0).delays(urgent, 1.9)
+
+
+def test_what_can_not_end_in_time_on_a_slow_instance_is_refused_at_once():
+    queue = slow_queue()
+    late = entry(objective=2.0, deadline=2.5)
+    assert queue.offer(late, 1.2) == [late]
+    assert late.refusal is objectives.Refusal.TOO_LATE
+    assert queue.offer(entry(objective=2.0, deadline=4.0), 1.2) == []
+
+
+def test_in_a_short_spell_nothing_is_refused_for_its_pace():
+    queue = queue_that_knows(slots=9, lookup=0.2)
+    queue.note_pace(1.0, 1.0)
+    queue.note_pace(12.0, 1.1)
+    assert queue.offer(entry(objective=2.0, deadline=2.5), 1.2) == []
+
+
 # ---------------------------------------------------------------------------
 #   Load
 # ---------------------------------------------------------------------------
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -156,6 +156,18 @@
     play(main)
 
 
+def test_an_impatient_request_is_bounced_where_a_slow_instance_would_make_it_late():
+    """Else it starts there, as all others are full, and takes twelve times as long."""
+
+    async def main():
+        gate = gate_of(Runner())
+        gate.queue.pace = 12.0
+        refused = await gate.serve(message(patient=False))
+        assert refused.reason is calls.NotRunReason.NOT_NOW
+
+    play(main)
+
+
 def test_an_impatient_request_is_bounced_in_a_slow_spell():
     async def main():
         runner = Runner()
