Try work that nobody has seen yet, though its objective lies beyond its deadline

Cause: before its first sample the work time of a kind is taken as 0.3 of its objective. Where the objective is longer than the time a request has, that is refused as too late, nothing is learned, and the next one is refused too. Change: 0.3 of what is left until the objective or the deadline, whichever is sooner. Test: tests/test_objectives.py, failed before.

--- a/src/savoryhollow/admission/objectives.py
+++ b/src/savoryhollow/admission/objectives.py
@@ -17,7 +17,8 @@
 
 __all__ = ["ObjectiveQueue", "Refusal", "Waiting"]
 
-# Work time assumed of a rank before its first sample, as a part of its objective.
+# Work time assumed of a rank before its first sample, as a part of the time that it
+# has until its objective or its deadline, whichever is sooner.
 FIRST_SHARE = 0.3
 # Part of the work time that has to fit before the deadline for a request to start.
 START_SHARE = 0.8
@@ -105,12 +106,13 @@
         """The smoothed time that a request holds a slot, in s."""
         return self._overall.mean_s
 
-    def work_s(self, kind: str, objective_s: float) -> float:
-        """Return the time that a request of a kind is expected to take, in s."""
-        known = self._work_by_kind.get(kind)
-        if known is None:
-            return FIRST_SHARE * objective_s if math.isfinite(objective_s) else 0.0
-        return known.mean_s
+    def work_s(self, entry: Waiting, now: float) -> float:
+        """Return the time that a request is expected to take, in s."""
+        known = self._work_by_kind.get(entry.kind)
+        if known is not None:
+            return known.mean_s
+        left_s = min(entry.objective, entry.deadline) - now
+        return FIRST_SHARE * left_s if math.isfinite(left_s) else 0.0
 
     # -----------------------------------------------------------------------
     #   Changes
@@ -123,7 +125,7 @@
         :param now: the present instant.
         :returns: the requests that are turned away for it, their ``refusal`` set.
         """
-        entry.work_s = self.work_s(entry.kind, entry.objective - now)
+        entry.work_s = self.work_s(entry, now)
         last_start = (
             entry.deadline - START_SHARE * self.lasting_pace(now) * entry.work_s
         )
--- a/src/savoryhollow/proxy/gate.py
+++ b/src/savoryhollow/proxy/gate.py
@@ -226,7 +226,7 @@
             self._settle([entry])
 
     def _starts_at_once(self, entry: objectives.Waiting, now: float) -> bool:
-        entry.work_s = self.queue.work_s(entry.kind, entry.objective - now)
+        entry.work_s = self.queue.work_s(entry, now)
         free = self.queue.busy < self.queue.slots and not self.queue.waiting
         slow = self.queue.holds(entry, now) or self.queue.delays(entry, now)
         return free and not slow
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -168,6 +168,14 @@
     assert queue.offer(entry(objective=2.0, deadline=4.0), 1.2) == []
 
 
+def test_work_that_nobody_has_seen_yet_is_tried_though_its_objective_is_long():
+    """It would else be refused for ever, as nothing is learned from a refusal."""
+    queue = objectives.ObjectiveQueue(4, 0)
+    queue.busy = 4
+    first = entry("new", objective=100.0, deadline=1.0)
+    assert queue.offer(first, 0.0) == []
+
+
 def test_in_a_short_spell_nothing_is_refused_for_its_pace():
     queue = queue_that_knows(slots=9, lookup=0.2)
     queue.note_pace(1.0, 1.0)
