Check the types of the event-loop path and the soak, and name two things apart

Cause: mypy left out the packages that serve the users' platform, and in them one name stood for a reason of the router and for the one that callers are told.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -97,7 +97,7 @@
 
 def find_misrouted_runs(ledger: records.Ledger) -> list[str]:
     """A request runs at a service that some configuration allows."""
-    allowed = collections.defaultdict(set)
+    allowed: dict[str, set[str]] = collections.defaultdict(set)
     for change in ledger.changes:
         for prefix, services in change.services_by_prefix.items():
             allowed[prefix] |= services
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -5,6 +5,7 @@
 
 import collections
 import enum
+import io
 import json
 import logging
 import threading
@@ -215,7 +216,7 @@
     instance: str,
     level: str = "info",
     placement_level: str = "debug",
-    stream: typing.TextIO | None = None,
+    stream: typing.TextIO | io.TextIOBase | None = None,
 ) -> None:
     """Set how this process logs.
 
--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -96,7 +96,10 @@
         after = ""
         while True:
             query = {"prefix": ""} | options | ({"after": after} if after else {})
-            page = documents.decode_page(await self._get("kv-range", query))
+            body = await self._get("kv-range", query)
+            if body is None:
+                raise errors.StoreError("the store has no items; see to the platform")
+            page = documents.decode_page(body)
             # Pages are no snapshot: what changed meanwhile is watched from the first.
             as_of = page.as_of if as_of is None else min(as_of, page.as_of)
             items += page.items
--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -267,10 +267,10 @@
             return progress.failure
         if progress.maybe_run is not None:
             return progress.maybe_run
-        reason = calls.NotRunReason.NO_ENDPOINT
+        told = calls.NotRunReason.NO_ENDPOINT
         if isinstance(progress.last, calls.NotRun):
-            reason = progress.last.reason
-        return calls.NotRun(call.request_id, reason, progress.retry_after_ms)
+            told = progress.last.reason
+        return calls.NotRun(call.request_id, told, progress.retry_after_ms)
 
     # -----------------------------------------------------------------------
     #   One attempt
--- a/src/savoryhollow/routing/subsets.py
+++ b/src/savoryhollow/routing/subsets.py
@@ -9,6 +9,7 @@
 """
 
 import collections.abc
+import typing
 
 import xxhash
 
@@ -22,7 +23,7 @@
 REGION_SIZE = 5
 REMOTE_SIZE = 4
 
-Endpoint = table.Endpoint
+Endpoint = typing.TypeVar("Endpoint", bound=table.Endpoint)
 
 
 def select(
