Log from whom a configuration came and when the platform last confirmed it

The hypotheses on late configurations couldn't be told apart: a line configuration_in_force named neither the daemon that a version came from nor the age of the platform's own last word, and a follower knew only when its reader had last sent anything.

Change: updates between daemons carry the age of the platform's last confirmation (the inner protocol's version rises to 5), a replica keeps it, configuration_in_force has source and confirmed_age_ms, and platform_confirmed_age_s is a gauge. Nothing is decided by it yet.

--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -94,6 +94,7 @@
         self._response_timeout_s = INITIAL_RESPONSE_TIMEOUT_S
 
     async def _read_all(self, parameters: dict[str, str]) -> None:
+        started = self._clock()
         items: list[documents.Change] = []
         as_of: int | None = None
         after = ""
@@ -113,6 +114,9 @@
                 break
             after = page.items[-1].key
         self._report_contact(True)
+        self._replica.source = ""
+        if not parameters:
+            self._replica.confirm(started)
         self._replica.apply_snapshot(
             [documents.to_published_item(change) for change in items], as_of
         )
@@ -126,6 +130,8 @@
             return False
         self._report_contact(True)
         changes = documents.decode_changes(body)
+        self._replica.source = ""
+        self._replica.confirm(self._clock())
         items = [documents.to_published_item(change) for change in changes.events]
         self._replica.apply(items, changes.as_of)
         self._readers.update_followers()
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -103,7 +103,10 @@
         self._readiness_server = callers.Server(self._answer_readiness)
         self._metrics_server = callers.Server(self._answer_metrics)
         self._inner_port = inner.InnerPort(
-            self.gate, DEFAULT_MAX_BODY_BYTES + MESSAGE_MARGIN_BYTES, self.replica
+            self.gate,
+            DEFAULT_MAX_BODY_BYTES + MESSAGE_MARGIN_BYTES,
+            self.replica,
+            self._clock,
         )
         self.readers = readers.Readers(
             settings,
@@ -136,7 +139,7 @@
                 hello,
                 DEFAULT_MAX_BODY_BYTES + MESSAGE_MARGIN_BYTES,
                 self.router.record_report,
-                lambda message: self.replica.receive(message, self._clock()),
+                lambda message: self.replica.receive(message, self._clock(), host),
                 lambda: self.replica.as_of,
             )
             return links.Link(endpoint_id, host, port, link_settings)
@@ -275,7 +278,12 @@
             limits.header_timeout_s,
             limits.idle_timeout_s,
         )
-        events.emit(events.Event.CONFIGURATION_IN_FORCE, revision=route_table.version)
+        events.emit(
+            events.Event.CONFIGURATION_IN_FORCE,
+            revision=route_table.version,
+            source=self.replica.source,
+            confirmed_age_ms=self.replica.confirmed_age_ms(self.now),
+        )
         return True
 
     def find_own_endpoint(self) -> directory.KnownEndpoint | None:
--- a/src/savoryhollow/proxy/inner.py
+++ b/src/savoryhollow/proxy/inner.py
@@ -1,6 +1,7 @@
 """The server for connections from the daemons of other instances."""
 
 import asyncio
+import collections.abc
 
 import websockets
 import websockets.asyncio.server
@@ -20,6 +21,7 @@
     :param gate: the gate of this instance.
     :param max_message_bytes: the size of the largest message accepted, in bytes.
     :param replica: the published items that followers of this daemon receive.
+    :param clock: returns the current time, in s.
     """
 
     def __init__(
@@ -27,10 +29,12 @@
         gate: gate_module.Gate,
         max_message_bytes: int,
         replica: relay.Replica,
+        clock: collections.abc.Callable[[], float],
     ):
         self._gate = gate
         self._max_message_bytes = max_message_bytes
         self._replica = replica
+        self._clock = clock
         self._servers: list[websockets.asyncio.server.Server] = []
         self._listeners: set[websockets.asyncio.server.ServerConnection] = set()
         self._followers: set[websockets.asyncio.server.ServerConnection] = set()
@@ -113,7 +117,7 @@
                 self._listeners.add(connection)
         elif isinstance(message, messages.SubscribeMessage):
             self._followers.add(connection)
-            update = self._replica.message_since(message.known_revision)
+            update = self._replica.message_since(message.known_revision, self._clock())
             tasks.spawn(self._send(connection, update))
 
     async def _serve_call(self, connection, call: messages.CallMessage) -> None:
--- a/src/savoryhollow/proxy/readers.py
+++ b/src/savoryhollow/proxy/readers.py
@@ -64,7 +64,7 @@
 
     def update_followers(self) -> None:
         """Send the followers of this daemon what is new, or just a heartbeat."""
-        self._inner.broadcast_items(self.replica.next_update())
+        self._inner.broadcast_items(self.replica.next_update(self._clock()))
 
     def follow_seeds(self) -> None:
         """Subscribe to the seeds until the first items are known.
--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -43,7 +43,10 @@
     """This daemon's copy of the published items.
 
     The attribute ``as_of`` is the revision up to which the copy is complete, -1 before
-    the first read; ``in_contact`` tells whether the platform answers this daemon.
+    the first read, and ``confirmed_at`` the time at which the platform last confirmed
+    that to a daemon; ``in_contact`` tells whether the platform answers this daemon, and
+    ``source`` is the host of the daemon that sent the last update, empty if it was read
+    from the platform.
 
     :param on_items: called with items that are new or changed.
     :param on_contact: called with True when the replica begins to keep up with the
@@ -65,6 +68,8 @@
         self._reported_contact: bool | None = None
         self._last_sent_revision = -1
         self.as_of = -1
+        self.confirmed_at = float("-inf")
+        self.source = ""
         self.in_contact = False
 
     # -----------------------------------------------------------------------
@@ -99,6 +104,19 @@
         ]
         self.apply(items + gone, as_of)
 
+    def confirm(self, at: float) -> None:
+        """Record a time at which the platform confirmed that the copy is complete."""
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def confirmed_age_s(self, now: float) -> float:
+        """Return the time since the last confirmation, in s; infinite without one."""
+        return now - self.confirmed_at
+
+    def confirmed_age_ms(self, now: float) -> int | None:
+        """Return the age of the last confirmation for the log, in ms."""
+        age_s = self.confirmed_age_s(now)
+        return round(1000 * age_s) if math.isfinite(age_s) else None
+
     def set_own_contact(self, in_contact: bool) -> None:
         """Record whether the platform answers this daemon."""
         self.in_contact = in_contact
@@ -122,14 +140,20 @@
     #   Following
     # -----------------------------------------------------------------------
 
-    def receive(self, message: messages.ItemsMessage, now: float) -> bool:
+    def receive(
+        self, message: messages.ItemsMessage, now: float, source: str = ""
+    ) -> bool:
         """Merge an update received from a reader.
 
+        :param source: the host of the reader.
         :returns: False if items before the update are missing; the caller should
             then request those since the known revision.
         """
         self._last_message_at = now
+        self.source = source
         is_complete = message.since <= self.as_of
+        if is_complete and message.confirmed_age_us is not None:
+            self.confirm(now - message.confirmed_age_us / 1e6)
         self.apply(list(message.items), message.as_of if is_complete else self.as_of)
         if message.in_contact:
             self._confirmed_at = now
@@ -161,18 +185,20 @@
         never_heard = math.isinf(self._last_message_at)
         return never_heard and now < self._waiting_since + FIRST_MESSAGE_WAIT_S
 
-    def message_since(self, revision: int) -> messages.ItemsMessage:
+    def message_since(self, revision: int, now: float) -> messages.ItemsMessage:
         """Return the update for a follower whose replica is complete to a revision."""
+        age_s = self.confirmed_age_s(now)
+        age_us = int(1e6 * age_s) if math.isfinite(age_s) else None
         items = [
             item for item in self._items_by_key.values() if item.revision > revision
         ]
         return messages.ItemsMessage(
-            revision, self.as_of, self.in_contact, tuple(items)
+            revision, self.as_of, self.in_contact, tuple(items), age_us
         )
 
-    def next_update(self) -> messages.ItemsMessage:
+    def next_update(self, now: float) -> messages.ItemsMessage:
         """Return the update for all followers, with the changes since the last one."""
-        message = self.message_since(self._last_sent_revision)
+        message = self.message_since(self._last_sent_revision, now)
         self._last_sent_revision = self.as_of
         return message
 
--- a/src/savoryhollow/proxy/state.py
+++ b/src/savoryhollow/proxy/state.py
@@ -25,6 +25,10 @@
             agent.front.table.version if agent.front.table is not None else -1,
         ),
         "platform_revision": ("What is known of the platform.", agent.replica.as_of),
+        "platform_confirmed_age_s": (
+            "Time since it last confirmed, to any daemon, what is known here.",
+            agent.replica.confirmed_age_s(agent.now),
+        ),
         "platform_contact": ("Whether it answers.", agent.replica.in_contact),
         "backend_connections": ("Connections opened.", agent.runner.pool.opened_count),
         "links": ("Links to other daemons.", len(agent.router.links_by_host)),
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -41,7 +41,7 @@
 Count = Annotated[int, msgspec.Meta(ge=0)]
 
 # Must be incremented when a message changes in a way that older peers can't decode.
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -202,13 +202,16 @@
 
     :param since: the revision after which the items start.
     :param as_of: the revision up to which the items are complete.
-    :param in_contact: whether the sender can reach the platform.
+    :param in_contact: whether the platform answered the sender's last call.
+    :param confirmed_age_us: the time since the platform itself last confirmed that the
+        sender's items are complete, in µs; None if it never did.
     """
 
     since: int
     as_of: int
     in_contact: bool
     items: tuple[PublishedItem, ...]
+    confirmed_age_us: Count | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -19,6 +19,12 @@
         service_us=COUNTS,
     ),
 )
+strategies.register_type_strategy(
+    messages.ItemsMessage,
+    strategies.builds(
+        messages.ItemsMessage, confirmed_age_us=strategies.none() | COUNTS
+    ),
+)
 MESSAGES = strategies.one_of(
     *(strategies.from_type(cls) for cls in codec.KINDS_BY_CLASS)
 )
--- a/tests/test_relay_items.py
+++ b/tests/test_relay_items.py
@@ -22,8 +22,9 @@
             self.items_by_key[one.key] = one
 
 
-def update(as_of, *items, in_contact=True, since=-1):
-    return messages.ItemsMessage(since, as_of, in_contact, items)
+def update(as_of, *items, in_contact=True, since=-1, confirmed_age_us=0):
+    age_us = confirmed_age_us if in_contact else None
+    return messages.ItemsMessage(since, as_of, in_contact, items, age_us)
 
 
 def test_an_older_item_never_replaces_a_newer_one():
@@ -60,7 +61,7 @@
 def test_a_follower_gets_only_items_after_its_known_revision():
     reader = Follower().replica
     reader.apply([item("a", 1), item("b", 2), item("c", 3, None)], 4)
-    message = reader.message_since(1)
+    message = reader.message_since(1, 0.0)
     assert [one.key for one in message.items] == ["b", "c"]
     assert message.as_of == 4
 
@@ -69,24 +70,26 @@
     first, second, follower = Follower().replica, Follower().replica, Follower()
     for one in (first, second):
         one.apply([item("a", 1)], 1)
-        follower.replica.receive(one.next_update(), 0.0)
+        follower.replica.receive(one.next_update(0.0), 0.0)
     first.apply([item("a", 2, b"leaving")], 2)
-    second.receive(first.next_update(), 0.1)
+    second.receive(first.next_update(0.0), 0.1)
     # The follower has lost its link to the first reader.
     second.apply([item("a", 2, b"leaving")], 2)
-    follower.replica.receive(second.next_update(), 0.2)
+    follower.replica.receive(second.next_update(0.0), 0.2)
     assert follower.items_by_key["a"].content == b"leaving"
 
 
 def test_a_gap_is_detected_and_filled():
     reader, follower = Follower().replica, Follower()
     reader.apply([item("a", 1)], 1)
-    assert follower.replica.receive(reader.next_update(), 0.0)
+    assert follower.replica.receive(reader.next_update(0.0), 0.0)
     reader.apply([item("b", 2)], 2)
-    reader.next_update()
-    assert not follower.replica.receive(reader.next_update(), 0.1)
+    reader.next_update(0.0)
+    assert not follower.replica.receive(reader.next_update(0.0), 0.1)
     assert follower.replica.as_of == 1
-    assert follower.replica.receive(reader.message_since(follower.replica.as_of), 0.2)
+    assert follower.replica.receive(
+        reader.message_since(follower.replica.as_of, 0.2), 0.2
+    )
     assert set(follower.items_by_key) == {"a", "b"}
 
 
