--- a/tests/test_relay_items.py
+++ b/tests/test_relay_items.py
@@ -168,3 +168,50 @@
     for one in delivered:
         follower.replica.receive(update(one.revision, one), 0.0)
     assert follower.items_by_key == newest
+
+
+# A change must be in force within 2.5 s of its confirmation; a read takes up to 0.5 s.
+LATEST_DIRECT_READ_S = 2.5 - 0.5
+
+
+def first_direct_read_at(reader, follower):
+    """Let a reader send heartbeats; return when the follower claims its first read."""
+    for step in range(1, 60):
+        now = step / 10
+        if step % 5 == 0:
+            follower.receive(reader.next_update(now), now)
+        if follower.claim_direct_read(now):
+            return now
+    return float("inf")
+
+
+def test_a_follower_reads_the_platform_itself_though_its_readers_still_send():
+    """A reader that is cut off from the platform notices that late."""
+    reader, follower = Follower().replica, Follower().replica
+    reader.apply([item("a", 1)], 1)
+    reader.set_own_contact(True)
+    reader.confirm(0.0)
+    follower.receive(reader.next_update(0.0), 0.0)
+    assert first_direct_read_at(reader, follower) <= LATEST_DIRECT_READ_S
+
+
+def test_a_reader_that_has_read_only_stale_items_confirms_nothing():
+    """A daemon that has just started knows items that may be seconds old."""
+    reader, follower = Follower().replica, Follower().replica
+    reader.apply_snapshot([item("a", 1)], 1)
+    reader.set_own_contact(True)
+    follower.receive(reader.next_update(0.0), 0.0)
+    assert first_direct_read_at(reader, follower) <= LATEST_DIRECT_READ_S
+
+
+def test_an_update_after_a_gap_confirms_nothing():
+    """The missing items may be the ones that matter."""
+    reader, follower = Follower().replica, Follower().replica
+    follower.receive(update(1, item("a", 1)), 0.0)
+    reader.apply([item("a", 1), item("b", 5)], 5)
+    reader.set_own_contact(True)
+    reader.next_update(0.0)
+    for step in range(1, 30):
+        reader.confirm(step / 10)
+        follower.receive(reader.next_update(step / 10), step / 10)
+    assert follower.claim_direct_read(3.0)
