Read the platform when its last confirmation is old, not when readers fall silent

Cause: a follower took each heartbeat of a reader for a proof that its copy of the platform's items was current. A reader that is cut off from the store, or gets no answer, learns that when its watch times out, 3.3 to 5.5 s later, and sent heartbeats all the while; with both readers of a region affected, its followers, which could read the store, waited for them. The same claim was made by a daemon that had read only stale items, and by an update with a gap. Where readers did say that they couldn't read, a follower read once in 3 s, also after reads that succeeded.

Ruled out: items lost or overwritten in the replica (the missing versions come at once when the readers read again), transport (the other region had them within 0.1 s).

Change: an update carries the age of the platform's last confirmation in place of the sender's claim to be in contact. A daemon whose own knowledge was last confirmed over 1.5 s ago reads the platform itself, with a watch that doesn't wait. Readers get a confirmation each second. The interval between direct reads applies only after reads that failed, and is doubled by each.

Why it works: a claim about the platform ages from the moment at which the platform made it, through any number of daemons, so no daemon relies on one longer than 1.5 s.

--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -9,12 +9,11 @@
 from savoryhollow.observe import events
 from savoryhollow.platform import documents
 from savoryhollow.proxy import readers as readers_module
+from savoryhollow.proxy import relay
 from savoryhollow.settings import models
 
 __all__ = ["StoreFollower"]
 
-# Time that the store waits for a change before it answers a watch, in ms.
-WATCH_WAIT_MS = 2500
 # Delay before the next watch, so that it returns several changes at once, in s.
 CHANGE_BATCH_DELAY_S = 0.4
 # Interval of reads that may return stale items, in s.
@@ -46,6 +45,7 @@
         self._replica = readers.replica
         self._clock = asyncio.get_running_loop().time
         self._response_timeout_s = INITIAL_RESPONSE_TIMEOUT_S
+        self._last_answer_at = float("-inf")
         self._in_contact: bool | None = None
 
     async def run(self) -> None:
@@ -116,6 +116,7 @@
         self._report_contact(True)
         self._replica.source = ""
         if not parameters:
+            self._last_answer_at = self._clock()
             self._replica.confirm(started)
         self._replica.apply_snapshot(
             [documents.to_published_item(change) for change in items], as_of
@@ -124,14 +125,17 @@
 
     async def _watch(self, revision: int) -> bool:
         """Apply the next changes; return False if the history was discarded."""
-        query = {"prefix": "", "after": str(revision), "wait_ms": str(WATCH_WAIT_MS)}
-        body = await self._get("kv-watch", query, WATCH_WAIT_MS / 1000)
+        wait_s = self._watch_wait_s()
+        wait_ms = round(1000 * wait_s)
+        query = {"prefix": "", "after": str(revision), "wait_ms": str(wait_ms)}
+        body = await self._get("kv-watch", query, wait_s)
         if body is None:
             return False
         self._report_contact(True)
         changes = documents.decode_changes(body)
+        self._last_answer_at = self._clock()
         self._replica.source = ""
-        self._replica.confirm(self._clock())
+        self._replica.confirm(self._last_answer_at)
         items = [documents.to_published_item(change) for change in changes.events]
         self._replica.apply(items, changes.as_of)
         self._readers.update_followers()
@@ -140,6 +144,17 @@
             await asyncio.sleep(CHANGE_BATCH_DELAY_S)
         return True
 
+    def _watch_wait_s(self) -> float:
+        """Return how long the store may wait for a change, in s.
+
+        It answers at once if this daemon has no recent confirmation.
+        """
+        now = self._clock()
+        if not self._replica.is_fresh(now):
+            return 0.0
+        due_at = self._last_answer_at + relay.CONFIRMATION_INTERVAL_S
+        return min(relay.CONFIRMATION_INTERVAL_S, max(0.0, due_at - now))
+
     async def _get(
         self, operation: str, query: dict[str, str], wait_s: float = 0.0
     ) -> bytes | None:
--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -2,8 +2,12 @@
 
 Calls to the platform are expensive and limited in number, so two daemons of each
 region read it and the others follow these readers. Each daemon determines the readers
-on its own: the first reachable hosts in the order of a hash. A daemon that receives
-no current updates reads the platform itself.
+on its own: the first reachable hosts in the order of a hash.
+
+A reader can lose the platform without noticing it at once, so an update from a reader
+doesn't prove that nothing else is new. Each update therefore carries the age of the
+platform's last confirmation, and a daemon whose last confirmation is too old reads the
+platform itself.
 
 This module does no I/O; the caller passes the current time.
 """
@@ -20,13 +24,20 @@
 
 # Number of daemons in a region that read the platform.
 READERS_PER_REGION = 2
-# Age up to which the last update by a reader shows that the replica is current, in s.
-FRESH_LIMIT_S = 1.3
+# Interval within which the platform confirms to each reader that its copy is complete,
+# by a change or by the end of a watch, in s.
+CONFIRMATION_INTERVAL_S = 1.0
+# Age of the last confirmation beyond which a daemon reads the platform itself, in s.
+# Together with this read it must stay below the time in which a configuration has to
+# be in force.
+FRESH_LIMIT_S = 1.5
 # Time that a daemon waits for the first update of its readers before it reads the
 # platform itself, in s.
 FIRST_MESSAGE_WAIT_S = 1.0
-# Interval of a follower's own reads while its readers can't read, in s.
-DIRECT_READ_INTERVAL_S = 3.0
+# Interval after a failed read by a daemon that isn't a reader, in s. It is doubled by
+# each further failure up to the maximum, as most likely no daemon can read.
+MIN_DIRECT_READ_INTERVAL_S = 0.75
+MAX_DIRECT_READ_INTERVAL_S = 6.0
 # Number of items, removals included, above which the older half of the removals is
 # dropped. Removals are kept so that an older update doesn't bring an item back.
 MAX_ITEMS = 4096
@@ -61,9 +72,9 @@
         self._on_items = on_items
         self._on_contact = on_contact
         self._items_by_key: dict[str, Item] = {}
-        self._confirmed_at = float("-inf")
-        self._last_message_at = float("-inf")
-        self._last_direct_read_at = float("-inf")
+        self._has_received = False
+        self._direct_read_interval_s = MIN_DIRECT_READ_INTERVAL_S
+        self._next_direct_read_at = float("-inf")
         self._waiting_since: float | None = None
         self._reported_contact: bool | None = None
         self._last_sent_revision = -1
@@ -149,41 +160,41 @@
         :returns: False if items before the update are missing; the caller should
             then request those since the known revision.
         """
-        self._last_message_at = now
+        self._has_received = True
         self.source = source
         is_complete = message.since <= self.as_of
         if is_complete and message.confirmed_age_us is not None:
             self.confirm(now - message.confirmed_age_us / 1e6)
         self.apply(list(message.items), message.as_of if is_complete else self.as_of)
-        if message.in_contact:
-            self._confirmed_at = now
-        if message.in_contact or not self.is_fresh(now):
-            self._report_contact(message.in_contact or self.in_contact)
+        self._report_contact(self.in_contact or self.is_fresh(now))
         return is_complete
 
     def is_fresh(self, now: float) -> bool:
-        """Return True if a reader in contact with the platform sent a recent update."""
-        return now - self._confirmed_at <= FRESH_LIMIT_S
+        """Return True if the platform has recently confirmed the copy to any daemon."""
+        return self.confirmed_age_s(now) <= FRESH_LIMIT_S
 
     def claim_direct_read(self, now: float) -> bool:
         """Return True if a daemon that isn't a reader should read the platform now.
 
         The read is recorded, to limit how often this daemon reads.
         """
-        if self.is_fresh(now) or self._awaits_first_message(now):
+        if self.is_fresh(now):
+            self._direct_read_interval_s = MIN_DIRECT_READ_INTERVAL_S
+            self._next_direct_read_at = float("-inf")
+            return False
+        if self._awaits_first_message(now) or now < self._next_direct_read_at:
             return False
-        if now - self._last_message_at <= FRESH_LIMIT_S:
-            # The readers are alive but can't read, so most likely no daemon can.
-            if now - self._last_direct_read_at < DIRECT_READ_INTERVAL_S:
-                return False
-        self._last_direct_read_at = now
+        self._next_direct_read_at = now + self._direct_read_interval_s
+        self._direct_read_interval_s = min(
+            MAX_DIRECT_READ_INTERVAL_S, 2 * self._direct_read_interval_s
+        )
         return True
 
     def _awaits_first_message(self, now: float) -> bool:
         if self._waiting_since is None:
             self._waiting_since = now
-        never_heard = math.isinf(self._last_message_at)
-        return never_heard and now < self._waiting_since + FIRST_MESSAGE_WAIT_S
+        waited_s = now - self._waiting_since
+        return not self._has_received and waited_s < FIRST_MESSAGE_WAIT_S
 
     def message_since(self, revision: int, now: float) -> messages.ItemsMessage:
         """Return the update for a follower whose replica is complete to a revision."""
@@ -192,9 +203,7 @@
         items = [
             item for item in self._items_by_key.values() if item.revision > revision
         ]
-        return messages.ItemsMessage(
-            revision, self.as_of, self.in_contact, tuple(items), age_us
-        )
+        return messages.ItemsMessage(revision, self.as_of, age_us, tuple(items))
 
     def next_update(self, now: float) -> messages.ItemsMessage:
         """Return the update for all followers, with the changes since the last one."""
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -202,16 +202,14 @@
 
     :param since: the revision after which the items start.
     :param as_of: the revision up to which the items are complete.
-    :param in_contact: whether the platform answered the sender's last call.
-    :param confirmed_age_us: the time since the platform itself last confirmed that the
-        sender's items are complete, in µs; None if it never did.
+    :param confirmed_age_us: the time since the platform last confirmed that the items
+        are complete up to ``as_of``, in µs; None if it never did.
     """
 
     since: int
     as_of: int
-    in_contact: bool
-    items: tuple[PublishedItem, ...]
     confirmed_age_us: Count | None
+    items: tuple[PublishedItem, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_relay_items.py
+++ b/tests/test_relay_items.py
@@ -22,9 +22,8 @@
             self.items_by_key[one.key] = one
 
 
-def update(as_of, *items, in_contact=True, since=-1, confirmed_age_us=0):
-    age_us = confirmed_age_us if in_contact else None
-    return messages.ItemsMessage(since, as_of, in_contact, items, age_us)
+def update(as_of, *items, since=-1, confirmed_age_us=0):
+    return messages.ItemsMessage(since, as_of, confirmed_age_us, items)
 
 
 def test_an_older_item_never_replaces_a_newer_one():
@@ -120,7 +119,7 @@
     reads, now = 0, 10.0
     for _ in range(100):
         now += 0.1
-        replica.receive(update(1, in_contact=False), now)
+        replica.receive(update(1, confirmed_age_us=None), now)
         reads += replica.claim_direct_read(now)
     assert 3 <= reads <= 4
 
@@ -128,9 +127,9 @@
 def test_contact_is_lost_and_restored_with_the_readers():
     follower = Follower()
     follower.replica.receive(update(1), 0.0)
-    follower.replica.receive(update(1, in_contact=False), 0.5)
+    follower.replica.receive(update(1, confirmed_age_us=None), 0.5)
     assert follower.contacts == [True]
-    follower.replica.receive(update(1, in_contact=False), 2.0)
+    follower.replica.receive(update(1, confirmed_age_us=None), 2.0)
     follower.replica.receive(update(2), 5.0)
     assert follower.contacts == [True, False, True]
 
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -22,6 +22,7 @@
         self.stale_as_of = None
         self.unavailable = False
         self.calls = []
+        self.watch_waits_ms = []
 
     def put(self, key, value):
         self.revision += 1
@@ -46,6 +47,7 @@
             return http.Response(503)
         if name == "kv-range":
             return self._range("stale_ok" in query)
+        self.watch_waits_ms.append(int(query["wait_ms"]))
         return await self._watch(int(query["after"]))
 
     def _range(self, stale):
@@ -178,3 +180,40 @@
         assert readers.contacts[-1] is True
 
     run_scenario(scenario)
+
+
+def test_a_reader_watches_no_longer_than_its_confirmation_interval():
+    """Else its followers would read the platform though nothing is wrong."""
+
+    async def scenario(fake_store, readers, wait_until):
+        fake_store.put("a", b"1")
+        await wait_until(lambda: len(fake_store.watch_waits_ms) > 2)
+        limit_ms = 1000 * relay.CONFIRMATION_INTERVAL_S
+        assert all(wait_ms <= limit_ms for wait_ms in fake_store.watch_waits_ms)
+        assert relay.CONFIRMATION_INTERVAL_S < relay.FRESH_LIMIT_S
+
+    run_scenario(scenario)
+
+
+def test_a_daemon_without_a_recent_confirmation_gets_one_at_once():
+    """A watch that waits for a change would confirm nothing until it ends."""
+
+    async def scenario(fake_store, readers, wait_until):
+        fake_store.put("a", b"1")
+        await wait_until(lambda: fake_store.watch_waits_ms)
+        assert fake_store.watch_waits_ms[0] == 0
+
+    run_scenario(scenario)
+
+
+def test_stale_reads_confirm_nothing(monkeypatch):
+    """A daemon that isn't listed yet would vouch for what may be seconds old."""
+    monkeypatch.setattr(store, "STALE_READ_INTERVAL_S", 0.001)
+
+    async def scenario(fake_store, readers, wait_until):
+        readers.are_known = False
+        fake_store.put("a", b"1")
+        await wait_until(lambda: "a" in readers.content_by_key)
+        assert readers.replica.message_since(-1, 0.0).confirmed_age_us is None
+
+    run_scenario(scenario)
