Let other daemons take over from readers that no longer hear from the platform

What it did: with both readers of a region cut off, every other daemon of the region read the platform by itself for as long as that lasted.

Change: a reader without a recent confirmation is left out of the selection until it has one, so that the next two in order read at once and tell the others; a daemon that gets nothing from them within 0.3 s reads by itself as before.

--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -1,13 +1,12 @@
 """Relay the items that the platform publishes from a few daemons to the others.
 
-Calls to the platform are expensive and limited in number, so two daemons of each
-region read it and the others follow these readers. Each daemon determines the readers
-on its own: the first reachable hosts in the order of a hash.
+Calls to the platform are expensive and limited in number, so a few daemons of each
+region read it and the others follow these readers.
 
 A reader can lose the platform without noticing it at once, so an update from a reader
 doesn't prove that nothing else is new. Each update therefore carries the age of the
-platform's last confirmation, and a daemon whose last confirmation is too old reads the
-platform itself.
+platform's last confirmation. When it gets too old, other readers take over, and a
+daemon that still gets no newer confirmation reads the platform itself.
 
 This module does no I/O; the caller passes the current time.
 """
@@ -16,21 +15,19 @@
 import math
 import zlib
 
-import xxhash
-
 from savoryhollow.wire import messages
 
-__all__ = ["READERS_PER_REGION", "Replica", "compress", "decompress", "rank_readers"]
+__all__ = ["Replica", "compress", "decompress"]
 
-# Number of daemons in a region that read the platform.
-READERS_PER_REGION = 2
 # Interval within which the platform confirms to each reader that its copy is complete,
 # by a change or by the end of a watch, in s.
 CONFIRMATION_INTERVAL_S = 1.0
-# Age of the last confirmation beyond which a daemon reads the platform itself, in s.
-# Together with this read it must stay below the time in which a configuration has to
-# be in force.
+# Age of its last confirmation beyond which a copy counts as outdated, in s.
 FRESH_LIMIT_S = 1.5
+# Time that other readers have to take over before a daemon with an outdated copy reads
+# the platform itself, in s. With the limit above and the read, it must stay below the
+# time in which a configuration has to be in force.
+TAKEOVER_WAIT_S = 0.3
 # Time that a daemon waits for the first update of its readers before it reads the
 # platform itself, in s.
 FIRST_MESSAGE_WAIT_S = 1.0
@@ -45,19 +42,15 @@
 Item = messages.PublishedItem
 
 
-def rank_readers(hosts: collections.abc.Iterable[str]) -> list[str]:
-    """Return hosts in the order in which they are chosen as readers."""
-    return sorted(hosts, key=lambda host: xxhash.xxh64_intdigest(host.encode()))
-
-
 class Replica:
     """This daemon's copy of the published items.
 
     The attribute ``as_of`` is the revision up to which the copy is complete, -1 before
     the first read, and ``confirmed_at`` the time at which the platform last confirmed
-    that to a daemon; ``in_contact`` tells whether the platform answers this daemon, and
-    ``source`` is the host of the daemon that sent the last update, empty if it was read
-    from the platform.
+    that to any daemon. ``confirmed_at_by_source`` has the times that other daemons
+    told, by their hosts. ``in_contact`` tells whether the platform answers this daemon,
+    and ``source`` is the host of the daemon that sent the last update, empty if it was
+    read from the platform.
 
     :param on_items: called with items that are new or changed.
     :param on_contact: called with True when the replica begins to keep up with the
@@ -80,6 +73,7 @@
         self._last_sent_revision = -1
         self.as_of = -1
         self.confirmed_at = float("-inf")
+        self.confirmed_at_by_source: dict[str, float] = {}
         self.source = ""
         self.in_contact = False
 
@@ -123,10 +117,16 @@
         """Return the time since the last confirmation, in s; infinite without one."""
         return now - self.confirmed_at
 
-    def confirmed_age_ms(self, now: float) -> int | None:
-        """Return the age of the last confirmation for the log, in ms."""
-        age_s = self.confirmed_age_s(now)
-        return round(1000 * age_s) if math.isfinite(age_s) else None
+    def confirmed_age_ms(self, now: float, source: str | None = None) -> int | None:
+        """Return the age of the last confirmation for the log, in ms.
+
+        :param source: the host of another daemon, for the last one that it told.
+        :returns: the age; None without a confirmation.
+        """
+        confirmed_at = self.confirmed_at
+        if source is not None:
+            confirmed_at = self.confirmed_at_by_source.get(source, float("-inf"))
+        return round(1000 * (now - confirmed_at)) if confirmed_at > -math.inf else None
 
     def set_own_contact(self, in_contact: bool) -> None:
         """Record whether the platform answers this daemon."""
@@ -163,8 +163,11 @@
         self._has_received = True
         self.source = source
         is_complete = message.since <= self.as_of
-        if is_complete and message.confirmed_age_us is not None:
-            self.confirm(now - message.confirmed_age_us / 1e6)
+        if message.confirmed_age_us is not None:
+            confirmed_at = now - message.confirmed_age_us / 1e6
+            self.confirmed_at_by_source[source] = confirmed_at
+            if is_complete:
+                self.confirm(confirmed_at)
         self.apply(list(message.items), message.as_of if is_complete else self.as_of)
         self._report_contact(self.in_contact or self.is_fresh(now))
         return is_complete
@@ -182,7 +185,10 @@
             self._direct_read_interval_s = MIN_DIRECT_READ_INTERVAL_S
             self._next_direct_read_at = float("-inf")
             return False
-        if self._awaits_first_message(now) or now < self._next_direct_read_at:
+        is_too_early = self.confirmed_age_s(now) <= FRESH_LIMIT_S + TAKEOVER_WAIT_S
+        if is_too_early or self._awaits_first_message(now):
+            return False
+        if now < self._next_direct_read_at:
             return False
         self._next_direct_read_at = now + self._direct_read_interval_s
         self._direct_read_interval_s = min(
