Cut off responses that have no end

What callers would see: the daemon keeps all bytes of a response until its deadline. A server on the same instance sends hundreds of megabytes in that time, so the process goes over its memory and is killed, with every request on it; an endless head is also joined piece by piece, which takes ever more processor time.

Cause: backends.Connection had no limit on what it receives, only a deadline.

Change: an exchange may receive 17 MiB, as much as the inner protocol carries in one message, and 64 KiB without any part of a body. Beyond that the request fails as one that may have run, and the connection is closed.

--- a/src/savoryhollow/http1/backends.py
+++ b/src/savoryhollow/http1/backends.py
@@ -24,6 +24,10 @@
 IDLE_MARGIN_S = 1.0
 # Maximum idle time of a connection to be reused in a cautious period, in s.
 CAUTIOUS_MAX_IDLE_S = 0.2
+# Limit of what is received in one exchange, in bytes.
+MAX_RESPONSE_BYTES = 17 << 20
+# Limit of what is received without any part of a body, in bytes.
+MAX_HEAD_BYTES = 1 << 16
 # Length of the cautious period after a server has dropped an idle connection, in s.
 CAUTIOUS_PERIOD_S = 30.0
 
@@ -42,6 +46,8 @@
         self.idle_until = float("inf")
         self.idle_since = self._loop.time()
         self._response_started = False
+        self._received_bytes = 0
+        self._bytes_since_body = 0
         self._reset_message()
 
     # -----------------------------------------------------------------------
@@ -68,6 +74,8 @@
         self._id_header = id_header
         self._request_id = request_id
         self._response_started = False
+        self._received_bytes = 0
+        self._bytes_since_body = 0
         self._transport.write(data)
         try:
             response = await self._response_future
@@ -105,11 +113,20 @@
             self.abort()
             return
         self._response_started = True
+        self._received_bytes += len(data)
+        self._bytes_since_body += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"its response can't be parsed: {error}; check the server")
             self.abort()
+            return
+        if (
+            self._received_bytes > MAX_RESPONSE_BYTES
+            or self._bytes_since_body > MAX_HEAD_BYTES
+        ):
+            self._fail("its response exceeds the size limit; check the server")
+            self.abort()
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends when the connection is closed."""
@@ -164,6 +181,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
+        self._bytes_since_body = 0
         self._body.append(body)
 
     def on_message_complete(self) -> None:
