Announce large items to followers, who fetch the newest from one reader

Cause: both readers of a region pushed each version whole to each follower, so a follower got it twice, and versions that were superseded while they waited in a link's buffer were sent all the same, before heartbeats and answers to pings.

Change: an update whose items exceed 4 KiB goes out without them; its since tells that they exist. A follower with that gap asks, as it does for any gap, but only one reader at a time, and asks again after 0.5 s.

Tests: three in test_relay_items.py fail on the code before (a follower of two readers gets the items twice; each of eight versions is pushed; no request is repeated).

--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -35,6 +35,11 @@
 # each further failure up to the maximum, as most likely no daemon can read.
 MIN_DIRECT_READ_INTERVAL_S = 0.75
 MAX_DIRECT_READ_INTERVAL_S = 6.0
+# Content that an update to all followers may contain, in bytes. Larger content is only
+# announced, so that each follower requests it from one reader, and just the newest.
+MAX_PUSHED_BYTES = 4096
+# Time after which a follower that requested items may request them again, in s.
+REQUEST_TIMEOUT_S = 0.5
 # Number of items, removals included, above which the older half of the removals is
 # dropped. Removals are kept so that an older update doesn't bring an item back.
 MAX_ITEMS = 4096
@@ -68,6 +73,7 @@
         self._has_received = False
         self._direct_read_interval_s = MIN_DIRECT_READ_INTERVAL_S
         self._next_direct_read_at = float("-inf")
+        self._next_request_at = float("-inf")
         self._waiting_since: float | None = None
         self._reported_contact: bool | None = None
         self._last_sent_revision = -1
@@ -157,8 +163,8 @@
         """Merge an update received from a reader.
 
         :param source: the host of the reader.
-        :returns: False if items before the update are missing; the caller should
-            then request those since the known revision.
+        :returns: False if items before the update are missing and not requested yet;
+            the caller should then request those since the known revision.
         """
         self._has_received = True
         self.source = source
@@ -168,9 +174,17 @@
             self.confirmed_at_by_source[source] = confirmed_at
             if is_complete:
                 self.confirm(confirmed_at)
+        if is_complete and message.as_of > self.as_of:
+            self._next_request_at = float("-inf")
         self.apply(list(message.items), message.as_of if is_complete else self.as_of)
         self._report_contact(self.in_contact or self.is_fresh(now))
-        return is_complete
+        return is_complete or not self._claim_request(now)
+
+    def _claim_request(self, now: float) -> bool:
+        if now < self._next_request_at:
+            return False
+        self._next_request_at = now + REQUEST_TIMEOUT_S
+        return True
 
     def is_fresh(self, now: float) -> bool:
         """Return True if the platform has recently confirmed the copy to any daemon."""
@@ -212,10 +226,16 @@
         return messages.ItemsMessage(revision, self.as_of, age_us, tuple(items))
 
     def next_update(self, now: float) -> messages.ItemsMessage:
-        """Return the update for all followers, with the changes since the last one."""
+        """Return the update for all followers, with the changes since the last one.
+
+        It has no items if they are large; its ``since`` then tells that they exist.
+        """
         message = self.message_since(self._last_sent_revision, now)
         self._last_sent_revision = self.as_of
-        return message
+        size = sum(len(item.content or b"") for item in message.items)
+        return (
+            message if size <= MAX_PUSHED_BYTES else self.message_since(self.as_of, now)
+        )
 
     def _report_contact(self, in_contact: bool) -> None:
         if in_contact is not self._reported_contact:
--- a/tests/test_relay_items.py
+++ b/tests/test_relay_items.py
@@ -205,3 +205,44 @@
         reader.confirm(step / 10)
         follower.receive(reader.next_update(step / 10), step / 10)
     assert follower.claim_direct_read(3.0)
+
+
+LARGE = b"x" * 30_000
+
+
+def test_large_items_are_sent_once_to_a_follower_of_two_readers():
+    """Two readers that push a large configuration to all fill their links with it."""
+    readers, follower = [Follower().replica, Follower().replica], Follower().replica
+    sent_bytes = 0
+    for reader in readers:
+        reader.apply([item("a", 1, LARGE)], 1)
+        reader.confirm(1.0)
+        updates = [reader.next_update(1.0)]
+        if not follower.receive(updates[0], 1.0):
+            updates.append(reader.message_since(follower.as_of, 1.0))
+            follower.receive(updates[1], 1.0)
+        sent_bytes += sum(len(one.content) for u in updates for one in u.items)
+    assert follower.as_of == 1
+    assert sent_bytes == len(LARGE)
+
+
+def test_a_follower_requests_missing_items_again_if_they_do_not_come():
+    """The reader that it asked may be gone."""
+    reader, follower = Follower().replica, Follower().replica
+    reader.apply([item("a", 1, LARGE)], 1)
+    assert not follower.receive(reader.next_update(0.0), 0.0)
+    assert follower.receive(reader.next_update(0.1), 0.1)
+    assert not follower.receive(reader.next_update(0.6), 0.6)
+
+
+def test_a_slow_follower_gets_only_the_newest_of_several_large_items():
+    """Else a link that is slower than the changes never catches up."""
+    reader, follower = Follower().replica, Follower().replica
+    pushed = []
+    for revision in range(1, 9):
+        reader.apply([item("a", revision, LARGE)], revision)
+        pushed += reader.next_update(0.0).items
+        follower.receive(reader.next_update(0.0), 0.0)
+    answer = reader.message_since(follower.as_of, 0.0)
+    assert pushed == []
+    assert [one.revision for one in answer.items] == [8]
