Let a response of the store take its time while it makes progress

What callers saw: nothing by itself.

Cause: the timeout of 0.8 s was for the whole response. One with several large versions takes longer on a slow or shared link; it was dropped and read again from its head, which keeps the link full.

Change: the timeout is for the next part of a response; the whole may take 8 s.

Test: test_a_large_response_on_a_slow_link_is_read_to_its_end fails on the code before (the response is never read whole).

--- a/src/savoryhollow/http1/backends.py
+++ b/src/savoryhollow/http1/backends.py
@@ -40,6 +40,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._response_future: asyncio.Future[messages.Response] | None = None
+        self._on_data: collections.abc.Callable[[], None] = lambda: None
         self._id_header: str | None = None
         self._request_id: str | None = None
         self.usable = True
@@ -55,7 +56,11 @@
     # -----------------------------------------------------------------------
 
     async def exchange(
-        self, data: bytes, id_header: str | None = None, request_id: str | None = None
+        self,
+        data: bytes,
+        id_header: str | None = None,
+        request_id: str | None = None,
+        on_data: collections.abc.Callable[[], None] = lambda: None,
     ) -> messages.Response:
         """Send a request and wait for its response.
 
@@ -64,6 +69,7 @@
             request.
         :param request_id: the id of the request; responses with another id are
             ignored, and responses without an id are accepted.
+        :param on_data: called whenever a part of the response was received.
         :returns: the complete response.
         :raises errors.BackendError: if no complete response was received.
         """
@@ -73,6 +79,7 @@
         self._response_future = self._loop.create_future()
         self._id_header = id_header
         self._request_id = request_id
+        self._on_data = on_data
         self._response_started = False
         self._received_bytes = 0
         self._bytes_since_body = 0
@@ -113,6 +120,7 @@
             self.abort()
             return
         self._response_started = True
+        self._on_data()
         self._received_bytes += len(data)
         self._bytes_since_body += len(data)
         try:
--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -20,10 +20,12 @@
 STALE_READ_INTERVAL_S = 0.8
 # Interval at which a daemon that follows readers checks if a read is due, in s.
 DUE_CHECK_INTERVAL_S = 0.1
-# Timeout for a response, in addition to the requested wait, in s. Each timeout
-# increases it up to the maximum, to allow for a slow store.
+# Timeout for a response or its next part, in addition to the requested wait, in s. Each
+# timeout increases it up to the maximum, to allow for a slow store.
 INITIAL_RESPONSE_TIMEOUT_S = 0.8
 MAX_RESPONSE_TIMEOUT_S = 3.0
+# Timeout for a whole response, in addition to the requested wait, in s.
+TRANSFER_TIMEOUT_S = 8.0
 # Limits of the backoff after a failed call, in s.
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
@@ -162,10 +164,17 @@
         target = f"/api/{operation}?{urllib.parse.urlencode(query)}"
         headers = (calls.Header("Host", self._host),)
         data = messages.render_request(messages.Request("GET", target, headers, b""))
+        latest = self._clock() + wait_s + TRANSFER_TIMEOUT_S
         try:
-            async with asyncio.timeout(wait_s + self._response_timeout_s):
+            async with asyncio.timeout(wait_s + self._response_timeout_s) as timeout:
+
+                def extend_timeout() -> None:
+                    if not timeout.expired():
+                        due_at = self._clock() + self._response_timeout_s
+                        timeout.reschedule(min(latest, due_at))
+
                 connection, _ = await self._pool.acquire()
-                response = await connection.exchange(data)
+                response = await connection.exchange(data, on_data=extend_timeout)
         except TimeoutError as error:
             self._response_timeout_s = min(
                 MAX_RESPONSE_TIMEOUT_S, 1.5 * self._response_timeout_s
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -95,6 +95,9 @@
     def update_followers(self):
         return
 
+    def follow_seeds(self):
+        return
+
 
 def run_scenario(scenario):
     async def main():
@@ -217,3 +220,33 @@
         assert readers.replica.message_since(-1, 0.0).confirmed_age_us is None
 
     run_scenario(scenario)
+
+
+def test_a_large_response_on_a_slow_link_is_read_to_its_end(monkeypatch):
+    """A timeout for the whole response would start it again and again from its head."""
+    monkeypatch.setattr(store, "INITIAL_RESPONSE_TIMEOUT_S", 1.0)
+    body = json.dumps({"items": [], "has_more": False, "as_of": 7}).encode()
+
+    async def main():
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            length = f"Content-Length: {len(body)}\r\n\r\n"
+            writer.write(b"HTTP/1.1 200 OK\r\n" + length.encode())
+            for byte in body:
+                await asyncio.sleep(0.03)
+                writer.write(bytes([byte]))
+            await reader.read()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        readers = FakeReaders()
+        port = server.sockets[0].getsockname()[1]
+        follower = store.StoreFollower(models.Target("127.0.0.1", port), readers)
+        task = asyncio.create_task(follower.run())
+        async with asyncio.timeout(10):
+            while readers.replica.as_of < 7:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        server.close()
+        assert False not in readers.contacts
+
+    asyncio.run(main())
