Start the rotation of a split route at another point in each process

What callers would see: each daemon began the rotation of a split route with its heaviest part, and anew with each change of the route.

Cause: what each process does alike was taken for evenly spread; it is the same class as trusting two readers that fail in the same way.

Change: each process starts at a random point of the cycle.

--- a/src/savoryhollow/configuration/routes.py
+++ b/src/savoryhollow/configuration/routes.py
@@ -3,10 +3,16 @@
 A route table is immutable; each newer version replaces it as a whole.
 """
 
+import collections.abc
 import dataclasses
 import functools
+import math
+import random
 
-__all__ = ["CallerLimits", "Route", "RouteTable", "ServiceShare"]
+__all__ = ["CallerLimits", "Route", "RouteTable", "ServiceShare", "WeightedRoundRobin"]
+
+# Number of requests at the head of a cycle among which its start is chosen.
+MAX_START = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,19 +115,39 @@
     """Distributes the requests of a route over its services by weight.
 
     This is smooth weighted round robin: the requests of each service are spread
-    evenly, so that any sequence of requests stays close to the weights.
+    evenly, so that any sequence of requests stays close to the weights. Each process
+    starts at another point of the cycle, so that the first requests of many processes
+    stay close to the weights as well.
+
+    :param choose_start: returns a start below the given length of a cycle.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, choose_start: collections.abc.Callable[[int], int] = random.randrange
+    ):
+        self._choose_start = choose_start
         self._current_weights_by_route: dict[Route, dict[str, float]] = {}
 
     def next_service(self, route: Route) -> str:
         """Return the service of the next request of a route."""
         if len(route.shares) == 1:
             return route.shares[0].service
-        current_weights = self._current_weights_by_route.setdefault(
-            route, {share.service: 0.0 for share in route.shares}
-        )
+        current_weights = self._current_weights_by_route.get(route)
+        if current_weights is None:
+            current_weights = self._start(route)
+            self._current_weights_by_route[route] = current_weights
+        return self._advance(route, current_weights)
+
+    def _start(self, route: Route) -> dict[str, float]:
+        current_weights = {share.service: 0.0 for share in route.shares}
+        weights = [share.weight for share in route.shares]
+        cycle = sum(weights) // math.gcd(*weights)
+        for _ in range(self._choose_start(min(cycle, MAX_START))):
+            self._advance(route, current_weights)
+        return current_weights
+
+    @staticmethod
+    def _advance(route: Route, current_weights: dict[str, float]) -> str:
         for share in route.shares:
             current_weights[share.service] += share.weight
         service = max(current_weights, key=current_weights.__getitem__)
