Let the soak test cut off readers and not excuse a refusal by a later version

What it missed: on the code as found a route was refused with 404 up to 2.9 s after it was published (bound 2.5 s), at instances that reached the store, and the run passed.

Causes: any fault at one instance excused all others, as for a fault on everything; no fault was aimed at the daemons that read for a region; and a 404 counted as consistent with a version published after it that removed the route again.

Change: each quiet phase cuts off, or has refused, the store connections of all readers of a region, which the daemons' dumps name, and publishes meanwhile; only these instances count as disturbed. The check of late configurations considers the disturbances of the instance itself and of all, and only versions that were published by then.

--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -32,6 +32,8 @@
 # Routes that later configurations add; the oldest are removed beyond this number.
 MAX_ADDED_PREFIXES = 4
 READY_TIMEOUT_S = 60.0
+# Timeout for a daemon's answer about its state.
+ANSWER_TIMEOUT_S = 1.0
 POLL_INTERVAL_S = 0.1
 # A longer delay of the event loop counts as a disturbance, because it distorts the
 # measured times.
@@ -146,6 +148,14 @@
                 one.close()
         self.store.close()
 
+    async def find_readers(self, region: str) -> list[Instance]:
+        """Return the instances whose daemons read the store for a region."""
+        return [
+            instance
+            for instance in self.instances_by_number.values()
+            if instance.spec.region == region and await _reads_store(instance.spec)
+        ]
+
     async def _await_ready(self) -> None:
         until = self.history.now + READY_TIMEOUT_S
         for instance in self.instances_by_number.values():
@@ -255,14 +265,28 @@
 
 
 async def _is_ready(spec: layout.InstanceSpec) -> bool:
+    path = callers.DIALECT.readiness_path
+    return b" 200 " in await _get(spec.listen_ip, layout.READINESS_PORT, path)
+
+
+async def _reads_store(spec: layout.InstanceSpec) -> bool:
+    dump = await _get(spec.listen_ip, layout.METRICS_PORT, "/dump")
+    return b'"reads_platform":true' in dump
+
+
+async def _get(host: str, port: int, path: str) -> bytes:
+    """Return a response with its head; empty if the daemon can't be asked."""
     try:
-        reader, writer = await asyncio.open_connection(
-            spec.listen_ip, layout.READINESS_PORT
-        )
+        reader, writer = await asyncio.open_connection(host, port)
     except OSError:
-        return False
-    path = callers.DIALECT.readiness_path
-    writer.write(f"GET {path} HTTP/1.1\r\nHost: ready\r\n\r\n".encode())
-    line = await reader.readline()
-    writer.close()
-    return b" 200 " in line
+        return b""
+    request = f"GET {path} HTTP/1.1\r\nHost: soak\r\nConnection: close\r\n\r\n"
+    writer.write(request.encode())
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            return await reader.read()
+    except (OSError, TimeoutError):
+        # A daemon that is stopped or paused is neither ready nor a reader.
+        return b""
+    finally:
+        writer.close()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,11 @@
 # Range of the time between steps, by phase.
 FAULT_INTERVALS_S = (0.1, 1.2)
 QUIET_INTERVALS_S = (0.5, 2.5)
+# Time from the start of a quiet phase to the cut between readers and the store, its
+# duration, and the time until a configuration is published in it.
+CUT_DELAY_S = 5.0
+CUT_DURATION_S = 4.0
+CUT_PUBLICATION_DELAY_S = 0.4
 # Range of the duration of a fault.
 MIN_DURATION_S = 0.2
 MAX_DURATION_S = 3.0
@@ -47,7 +52,7 @@
     """A fault or a planned maintenance step.
 
     :param at: when it starts, in s since the start of the run.
-    :param kind: the kind, which is a key of ``FAULTS`` or ``PLANNED``.
+    :param kind: the kind, which is a key of ``FAULTS``, ``PLANNED`` or ``CUTS``.
     :param instance: the number of the instance that it affects.
     :param duration_s: how long it lasts, in s.
     :param strength: a number between 0 and 1 that sets the severity or selects a
@@ -73,12 +78,14 @@
     :returns: the steps, ordered by start.
     """
     steps: list[Step] = []
+    quiet_starts: list[float] = []
     phase_start = 0.0
     while phase_start < seconds:
         fault_end = min(seconds, phase_start + FAULT_PHASE_S)
         steps += _generate_phase(
             rng, phase_start, fault_end, sorted(FAULTS), FAULT_INTERVALS_S, instances
         )
+        quiet_starts.append(fault_end)
         phase_start = fault_end + QUIET_PHASE_S
         steps += _generate_phase(
             rng,
@@ -88,7 +95,18 @@
             QUIET_INTERVALS_S,
             instances,
         )
-    return steps
+    # Drawn last, so that the other steps of a seed don't depend on them.
+    steps += [
+        _generate_cut(rng, start + CUT_DELAY_S, instances)
+        for start in quiet_starts
+        if start + CUT_DELAY_S < seconds
+    ]
+    return sorted(steps, key=lambda step: step.at)
+
+
+def _generate_cut(rng, at, instances) -> Step:
+    kind = rng.choice(sorted(CUTS))
+    return Step(at, kind, rng.randint(1, instances), CUT_DURATION_S, rng.random())
 
 
 def _generate_phase(rng, since, until, kinds, intervals_s, instances) -> list[Step]:
@@ -115,7 +133,7 @@
     :param step: the step.
     """
     instance = deployment.instances_by_number[step.instance]
-    action = FAULTS.get(step.kind) or PLANNED[step.kind]
+    action = (FAULTS | PLANNED | CUTS)[step.kind]
     await action(deployment, instance, step)
 
 
@@ -342,6 +360,32 @@
         deployment.register(instance)
 
 
+def _cut_readers(apply: collections.abc.Callable[[proxy.Proxy, Step], None]) -> Action:
+    """Return an action that cuts all readers of a region off from the store.
+
+    Only these readers count as disturbed: the other instances reach the store.
+    """
+
+    async def cut_temporarily(deployment, instance, step) -> None:
+        readers = await deployment.find_readers(instance.spec.region)
+        for reader in readers:
+            deployment.history.record_disturbance(
+                step.kind, reader.spec.number, step.duration_s + RECOVERY_MARGIN_S
+            )
+            apply(reader.proxies_by_port[layout.STORE_PORT], step)
+        await asyncio.sleep(CUT_PUBLICATION_DELAY_S)
+        deployment.publish()
+        await asyncio.sleep(step.duration_s - CUT_PUBLICATION_DELAY_S)
+        for reader in readers:
+            reader.proxies_by_port[layout.STORE_PORT].restore()
+
+    return cut_temporarily
+
+
+CUTS: dict[str, Action] = {
+    "readers cut off": _cut_readers(lambda target, step: target.cut()),
+    "readers refused": _cut_readers(_refuse_connections),
+}
 FAULTS: dict[str, Action] = {
     "daemon killed": _kill_daemon,
     "daemons killed": _kill_daemons,
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -226,10 +226,10 @@
         ran = runs.get(sent.request_id)
         if ran:
             seen_at = ran[0].started_at
-            versions = _matching_versions(history, prefix, ran[0].service)
+            versions = _matching_versions(history, prefix, ran[0].service, seen_at)
         elif sent.status == 404:
             seen_at = sent.ended_at
-            versions = _matching_versions(history, prefix, None)
+            versions = _matching_versions(history, prefix, None, seen_at)
         else:
             continue
         if versions and sent.boot:
@@ -242,17 +242,19 @@
 
 
 def _matching_versions(
-    history: records.History, prefix: str, service: str | None
+    history: records.History, prefix: str, service: str | None, seen_at: float
 ) -> list[int]:
     """Return the configuration versions that are consistent with a result.
 
     :param prefix: the path prefix of the request.
     :param service: the service that ran the request; None if there was no route.
+    :param seen_at: the time of the result; later versions can't have caused it.
     """
     return [
         configuration.version
         for configuration in history.configurations
-        if (
+        if configuration.at <= seen_at
+        and (
             prefix not in configuration.services_by_prefix
             if service is None
             else service in configuration.services_by_prefix.get(prefix, ())
@@ -276,7 +278,7 @@
             if configuration.at + BOUNDS.config_apply_s < observation.sent_at
         ]
         undisturbed = history.is_undisturbed(
-            observation.sent_at - window_s, observation.sent_at
+            observation.sent_at - window_s, observation.sent_at, observation.place
         )
         if due_versions and undisturbed and observation.versions[-1] < due_versions[-1]:
             violations.append(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -202,6 +202,35 @@
     assert not violated_checks(history)
 
 
+def test_a_late_configuration_is_found_while_other_instances_are_disturbed():
+    """Instances that reach the platform don't depend on one that doesn't."""
+    history = history_with_later_request(sent_at=103.0, ended_at=103.1, boot=2)
+    history.disturbances.append(records.Disturbance("cut", PLACE + 1, 98.0, 103.0))
+    assert violated_checks(history) == {"find_late_configurations"}
+    history.disturbances.append(records.Disturbance("cut", PLACE, 98.0, 103.0))
+    assert not violated_checks(history)
+
+
+def test_a_missing_route_is_not_excused_by_its_later_removal():
+    """A route that was refused before its removal was refused by an older version."""
+    history = make_history(
+        make_lookup("a", path="/new/a", status=404, signed=False, sent_at=103.0),
+        configurations=(
+            (3, 0.0, {}),
+            (6, 100.0, {"/new/": "dispatch"}),
+            (9, 110.0, {}),
+        ),
+    )
+    assert violated_checks(history) == {"find_late_configurations"}
+
+
+def test_the_readers_of_a_region_are_cut_off_in_each_quiet_phase():
+    steps = faults.generate_steps(random.Random(1), 52.0, 6)
+    cuts = [step for step in steps if step.kind in faults.CUTS]
+    assert len(cuts) == 2
+    assert steps == sorted(steps, key=lambda step: step.at)
+
+
 def test_an_interruption_during_a_disturbance_is_no_violation():
     history = history_with_planned_stop(
         make_sent(status=None, signed=False, detail="closed")
