Take a peer for alive while it sends a large message

Cause: a link counted as silent until a message was complete, and the answer to its ping waits behind that message. On a link of 5 Mbit/s a large configuration takes more than the second that both timeouts have.

Change: what counts is when data last came, not when a message did.

Test: tests/test_links.py; the one on a large message fails on the code before.

--- a/src/savoryhollow/proxy/links.py
+++ b/src/savoryhollow/proxy/links.py
@@ -33,6 +33,20 @@
 CONNECT_WAIT_S = 0.25
 
 
+class _Connection(websockets.asyncio.client.ClientConnection):
+    """A connection that records when it last received data.
+
+    A large message takes time on a slow link, and the peer is alive all the while.
+    """
+
+    last_data_at = float("-inf")
+
+    def data_received(self, data: bytes) -> None:
+        """Record the time and pass the data on."""
+        self.last_data_at = self.loop.time()
+        super().data_received(data)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkSettings:
     """Settings shared by all links of a process.
@@ -74,8 +88,7 @@
         self.subscribed = False
         self._settings = settings
         self._answers_by_id: dict[str, asyncio.Future[gate.Answer]] = {}
-        self._connection: websockets.asyncio.client.ClientConnection | None = None
-        self._last_received_at = 0.0
+        self._connection: _Connection | None = None
         self._ping_task: asyncio.Task[None] | None = None
         self._opened = asyncio.Event()
         self._task = asyncio.create_task(self._run())
@@ -138,17 +151,20 @@
         :param now: the current time.
         """
         connection = self._connection
-        if connection is None or now - self._last_received_at < PING_AFTER_SILENCE_S:
+        if connection is None or now - connection.last_data_at < PING_AFTER_SILENCE_S:
             return
         if self._ping_task is None or self._ping_task.done():
             self._ping_task = asyncio.create_task(self._ping_or_abort(connection))
 
     async def _ping_or_abort(self, connection) -> None:
+        last_data_at = connection.last_data_at
         try:
             async with asyncio.timeout(PING_TIMEOUT_S):
                 await (await connection.ping())
-            self._last_received_at = asyncio.get_running_loop().time()
-        except (TimeoutError, websockets.ConnectionClosed):
+        except TimeoutError:
+            if connection.last_data_at == last_data_at:
+                connection.transport.abort()
+        except websockets.ConnectionClosed:
             connection.transport.abort()
 
     async def _send(self, connection, message: messages.Message) -> None:
@@ -202,12 +218,13 @@
             max_size=settings.max_message_bytes,
             proxy=None,
             user_agent_header=None,
+            create_connection=_Connection,
         )
+        assert isinstance(connection, _Connection)
         try:
             await connection.send(codec.encode(settings.hello))
             if self.subscribed:
                 await self._send_subscription(connection)
-            self._last_received_at = asyncio.get_running_loop().time()
             self._connection = connection
             self._opened.set()
             self._mark_connected()
@@ -220,7 +237,6 @@
             self._mark_lost("the connection was closed")
 
     def _handle_message(self, data) -> None:
-        self._last_received_at = asyncio.get_running_loop().time()
         message = codec.decode(data)
         if isinstance(message, messages.ReportMessage):
             self._settings.on_report(self.endpoint_id, message.load)
