Judge a follower's contact with the platform by confirmations alone

What callers would see: a daemon that had once read the platform itself went on counting as in contact with it after its readers had lost it, until it read again. An endpoint whose entry lapses in an outage is kept for its return only by daemons that know of the outage.

Cause: Replica.receive took the success of an own call, however old, beside the reader's word.

Change: contact follows from the age of the last confirmation, which own reads give as well.

Test: test_an_earlier_read_of_its_own_does_not_hide_that_contact_is_lost fails on the code before.

--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -177,7 +177,8 @@
         if is_complete and message.as_of > self.as_of:
             self._next_request_at = float("-inf")
         self.apply(list(message.items), message.as_of if is_complete else self.as_of)
-        self._report_contact(self.in_contact or self.is_fresh(now))
+        if math.isfinite(self.confirmed_at):
+            self._report_contact(self.is_fresh(now))
         return is_complete or not self._claim_request(now)
 
     def _claim_request(self, now: float) -> bool:
--- a/tests/test_relay_items.py
+++ b/tests/test_relay_items.py
@@ -137,6 +137,17 @@
     assert follower.contacts == [True, False, True]
 
 
+def test_an_earlier_read_of_its_own_does_not_hide_that_contact_is_lost():
+    """Else entries that lapse in an outage are dropped as if their servers had left."""
+    follower = Follower()
+    follower.replica.set_own_contact(True)
+    follower.replica.confirm(0.0)
+    follower.replica.receive(update(1, confirmed_age_us=500_000), 0.5)
+    assert follower.contacts == [True]
+    follower.replica.receive(update(1, confirmed_age_us=5_000_000), 5.0)
+    assert follower.contacts == [True, False]
+
+
 def test_content_is_compressed_and_restored():
     content = b'{"prefix": "/a/"}' * 100
     assert len(relay.compress(content)) < len(content) / 5
