Give lapsed entries their whole time for renewal after each return of the source

Cause: Directory kept the time at which a delayed removal is due when the source was lost again, and a short loss after a return replaced the time for renewal by none.

Change: pending removals wait while the source is lost, and a short loss doesn't shorten what an earlier return has granted.

Tests: two in test_directory.py, both fail on the code before.

--- a/src/savoryhollow/membership/directory.py
+++ b/src/savoryhollow/membership/directory.py
@@ -98,14 +98,16 @@
         """Record that the source is unavailable; known endpoints are kept."""
         if self._lost_at is None:
             self._lost_at = now
+            for endpoint_id in self._removal_due_by_id:
+                self._removal_due_by_id[endpoint_id] = float("inf")
 
     def mark_source_restored(self, now: float) -> None:
         """Record that the source is available again."""
         if self._lost_at is None:
             return
-        delays_removals = now - self._lost_at > MIN_OUTAGE_S
+        grace_s = RENEWAL_GRACE_S if now - self._lost_at > MIN_OUTAGE_S else 0.0
         self._lost_at = None
-        self._earliest_removal_at = now + RENEWAL_GRACE_S if delays_removals else now
+        self._earliest_removal_at = max(self._earliest_removal_at, now + grace_s)
         for endpoint_id in self._removal_due_by_id:
             self._removal_due_by_id[endpoint_id] = self._earliest_removal_at
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -48,6 +48,30 @@
     assert [entry.endpoint_id for entry in members.live_endpoints("dispatch")] == ["a"]
 
 
+def test_an_entry_has_no_time_to_be_renewed_while_the_source_is_lost_again():
+    """A store that returns only briefly must not cost the endpoints that lapsed."""
+    members = directory_of(endpoint("a"))
+    members.mark_source_lost(0.0)
+    members.mark_source_restored(5.0)
+    members.remove("a", 5.1)
+    members.mark_source_lost(5.5)
+    assert members.remove_due(5.0 + RENEWAL_GRACE_S) == []
+    members.mark_source_restored(9.0)
+    assert members.remove_due(9.0 + RENEWAL_GRACE_S) == ["a"]
+
+
+def test_a_single_failed_call_does_not_shorten_the_time_to_be_renewed():
+    """Calls may still fail now and then after an outage."""
+    members = directory_of(endpoint("a"))
+    members.mark_source_lost(0.0)
+    members.mark_source_restored(5.0)
+    members.remove("a", 5.1)
+    members.mark_source_lost(5.5)
+    members.mark_source_restored(5.6)
+    assert members.remove_due(5.0 + RENEWAL_GRACE_S - 0.01) == []
+    assert members.remove_due(5.0 + RENEWAL_GRACE_S) == ["a"]
+
+
 def test_a_short_outage_delays_no_removal():
     members = directory_of(endpoint("a"))
     members.mark_source_lost(0.0)
