--- a/src/savoryhollow/proxy/readers.py
+++ b/src/savoryhollow/proxy/readers.py
@@ -128,6 +128,7 @@
         self._ranked_hosts = reader_selection.rank_hosts(hosts)
         self._selection.own_host = own_host
         self._selection.keep_only(hosts)
+        self.replica.keep_sources(hosts)
 
     def _is_reachable(self, host: str) -> bool:
         link = self._router.links_by_host.get(host)
--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -181,6 +181,12 @@
             self._report_contact(self.is_fresh(now))
         return is_complete or not self._claim_request(now)
 
+    def keep_sources(self, hosts: collections.abc.Container[str]) -> None:
+        """Forget what daemons on other hosts told."""
+        for host in tuple(self.confirmed_at_by_source):
+            if host not in hosts:
+                del self.confirmed_at_by_source[host]
+
     def _claim_request(self, now: float) -> bool:
         if now < self._next_request_at:
             return False
@@ -234,9 +240,9 @@
         message = self.message_since(self._last_sent_revision, now)
         self._last_sent_revision = self.as_of
         size = sum(len(item.content or b"") for item in message.items)
-        return (
-            message if size <= MAX_PUSHED_BYTES else self.message_since(self.as_of, now)
-        )
+        if size > MAX_PUSHED_BYTES:
+            return self.message_since(self.as_of, now)
+        return message
 
     def _report_contact(self, in_contact: bool) -> None:
         if in_contact is not self._reported_contact:
