--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,10 +7,8 @@
 import bisect
 import collections
 import collections.abc
-import dataclasses
-import itertools
 
-from soak import layout, records
+from soak import configurations, layout, records
 
 __all__ = ["TIMED_CHECKS", "UNTIMED_CHECKS", "check"]
 
@@ -36,13 +34,6 @@
     return [violation for check_one in checks for violation in check_one(history)]
 
 
-def _runs_by_id(history: records.History) -> dict[str, list[records.Run]]:
-    runs: dict[str, list[records.Run]] = collections.defaultdict(list)
-    for run in history.runs:
-        runs[run.request_id].append(run)
-    return runs
-
-
 # ---------------------------------------------------------------------------
 #   Guarantees that always apply
 # ---------------------------------------------------------------------------
@@ -52,7 +43,7 @@
     """Find non-idempotent requests that ran more than once."""
     return [
         f"ran {len(runs)} times: {history.sent_by_id[request_id]}"
-        for request_id, runs in _runs_by_id(history).items()
+        for request_id, runs in history.runs_by_id().items()
         if len(runs) > 1
         and request_id in history.sent_by_id
         and not history.sent_by_id[request_id].idempotent
@@ -61,7 +52,7 @@
 
 def find_false_refusals(history: records.History) -> list[str]:
     """Find non-idempotent requests that ran although they were refused."""
-    runs = _runs_by_id(history)
+    runs = history.runs_by_id()
     return [
         f"refused with {sent.status}, but ran: {sent}"
         for sent in history.sent_by_id.values()
@@ -73,7 +64,7 @@
 
 def find_invalid_responses(history: records.History) -> list[str]:
     """Find responses that are incomplete, mixed up or not from a backend server."""
-    runs = _runs_by_id(history)
+    runs = history.runs_by_id()
     violations = []
     for sent in history.sent_by_id.values():
         if not sent.sound:
@@ -118,7 +109,7 @@
 def find_excess_attempts(history: records.History) -> list[str]:
     """Find requests that ran on more endpoints than their route allows."""
     violations = []
-    for request_id, runs in _runs_by_id(history).items():
+    for request_id, runs in history.runs_by_id().items():
         stopped = {
             run.endpoint_id
             for run in runs
@@ -180,113 +171,11 @@
     return bisect.bisect_right(times, until) - bisect.bisect_right(times, since)
 
 
-def find_configuration_rollbacks(history: records.History) -> list[str]:
-    """Find daemons that returned to an older configuration without a restart."""
-    violations = []
-    observations_by_boot = collections.defaultdict(list)
-    for entry in _find_observations(history):
-        observations_by_boot[entry.place, entry.boot].append(entry)
-    for observations in observations_by_boot.values():
-        observations.sort(key=lambda observation: observation.seen_at)
-        seen_at = [observation.seen_at for observation in observations]
-        min_versions = list(
-            itertools.accumulate(
-                (observation.versions[0] for observation in observations), max
-            )
-        )
-        for observation in observations:
-            before = bisect.bisect_left(
-                seen_at, observation.sent_at - BOUNDS.rollback_slack_s
-            )
-            if before and observation.versions[-1] < min_versions[before - 1]:
-                violations.append(
-                    f"older than version {min_versions[before - 1]}, already in force: "
-                    f"{observation}"
-                )
-    return violations
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Observation:
-    """A request and the configuration versions that are consistent with its result."""
-
-    place: int
-    boot: int
-    sent_at: float
-    seen_at: float
-    versions: list[int]
-    detail: str
-
-
-def _find_observations(history: records.History) -> list[_Observation]:
-    runs = _runs_by_id(history)
-    observations = []
-    for sent in history.sent_by_id.values():
-        prefix = records.route_prefix(sent.path)
-        ran = runs.get(sent.request_id)
-        if ran:
-            seen_at = ran[0].started_at
-            versions = _matching_versions(history, prefix, ran[0].service, seen_at)
-        elif sent.status == 404:
-            seen_at = sent.ended_at
-            versions = _matching_versions(history, prefix, None, seen_at)
-        else:
-            continue
-        if versions and sent.boot:
-            observations.append(
-                _Observation(
-                    sent.place, sent.boot, sent.sent_at, seen_at, versions, str(sent)
-                )
-            )
-    return observations
-
-
-def _matching_versions(
-    history: records.History, prefix: str, service: str | None, seen_at: float
-) -> list[int]:
-    """Return the configuration versions that are consistent with a result.
-
-    :param prefix: the path prefix of the request.
-    :param service: the service that ran the request; None if there was no route.
-    :param seen_at: the time of the result; later versions can't have caused it.
-    """
-    return [
-        configuration.version
-        for configuration in history.configurations
-        if configuration.at <= seen_at
-        and (
-            prefix not in configuration.services_by_prefix
-            if service is None
-            else service in configuration.services_by_prefix.get(prefix, ())
-        )
-    ]
-
-
 # ---------------------------------------------------------------------------
 #   Guarantees about time
 # ---------------------------------------------------------------------------
 
 
-def find_late_configurations(history: records.History) -> list[str]:
-    """Find requests for which a configuration was in force too late."""
-    violations = []
-    window_s = BOUNDS.stability_window_s
-    for observation in _find_observations(history):
-        due_versions = [
-            configuration.version
-            for configuration in history.configurations
-            if configuration.at + BOUNDS.config_apply_s < observation.sent_at
-        ]
-        undisturbed = history.is_undisturbed(
-            observation.sent_at - window_s, observation.sent_at, observation.place
-        )
-        if due_versions and undisturbed and observation.versions[-1] < due_versions[-1]:
-            violations.append(
-                f"version {due_versions[-1]} isn't in force: {observation.detail}"
-            )
-    return violations
-
-
 def find_arrivals_after_drain(history: records.History) -> list[str]:
     """Find requests that ran at an endpoint long after it began to drain."""
     drains_by_endpoint = {entry.endpoint_id: entry for entry in history.drains}
@@ -307,7 +196,7 @@
 
 def find_interrupted_requests(history: records.History) -> list[str]:
     """Find requests that were interrupted by a planned stop."""
-    runs = _runs_by_id(history)
+    runs = history.runs_by_id()
     violations = []
     for sent in history.sent_by_id.values():
         stop = _find_planned_stop(history, sent)
@@ -387,10 +276,10 @@
     find_misrouted_runs,
     find_excess_attempts,
     find_excess_retries,
-    find_configuration_rollbacks,
+    configurations.find_configuration_rollbacks,
 )
 TIMED_CHECKS: tuple[Check, ...] = (
-    find_late_configurations,
+    configurations.find_late_configurations,
     find_arrivals_after_drain,
     find_interrupted_requests,
     find_wasted_runs,
--- a/soak/records.py
+++ b/soak/records.py
@@ -1,6 +1,7 @@
 """Records of what callers, backend servers and the operator did and observed."""
 
 import asyncio
+import collections
 import dataclasses
 import hashlib
 
@@ -173,6 +174,13 @@
         """The current time of the event loop, in s."""
         return asyncio.get_running_loop().time()
 
+    def runs_by_id(self) -> dict[str, list[Run]]:
+        """Return the runs of each request, by its id."""
+        runs: dict[str, list[Run]] = collections.defaultdict(list)
+        for run in self.runs:
+            runs[run.request_id].append(run)
+        return runs
+
     def record_disturbance(
         self, kind: str, place: int | None, duration_s: float
     ) -> None:
--- a/soak/running.py
+++ b/soak/running.py
@@ -6,7 +6,7 @@
 import pathlib
 import random
 
-from soak import deployments, faults, layout, promises, records
+from soak import deployments, faults, layout, promises, records, schedule
 
 __all__ = ["Report", "run"]
 
@@ -54,7 +54,7 @@
 
 async def _run(seed, seconds, instances, subnet, folder, timed) -> Report:
     deployment = deployments.Deployment(instances, subnet, folder, seed)
-    steps = faults.generate_steps(random.Random(seed), seconds, instances)
+    steps = schedule.generate_steps(random.Random(seed), seconds, instances)
     try:
         await deployment.start()
         await _perform_steps(deployment, steps)
--- /dev/null
+++ b/soak/schedule.py
@@ -0,0 +1,98 @@
+"""Generates the faults and maintenance steps of a run from a seed.
+
+A run alternates between two phases: one in which faults overlap, and a quiet one with
+planned maintenance and cuts between readers and the store, in which the guarantees
+about time apply.
+"""
+
+import random
+
+from soak import faults
+
+__all__ = ["generate_steps"]
+
+FAULT_PHASE_S = 10.0
+QUIET_PHASE_S = 16.0
+# Minimum time from the start of a quiet phase to its first maintenance step.
+QUIET_DELAY_S = 5.0
+# Range of the time between steps, by phase.
+FAULT_INTERVALS_S = (0.1, 1.2)
+QUIET_INTERVALS_S = (0.5, 2.5)
+# Time from the start of a quiet phase to the cut between readers and the store, and its
+# duration.
+CUT_DELAY_S = 5.0
+CUT_DURATION_S = 4.0
+# Range of the duration of a fault.
+MIN_DURATION_S = 0.2
+MAX_DURATION_S = 3.0
+
+
+def generate_steps(
+    rng: random.Random, seconds: float, instances: int
+) -> list[faults.Step]:
+    """Generate the steps of a run.
+
+    The kinds are chosen by their position in sorted order, so a new or renamed kind
+    that changes this order changes the steps of every seed.
+
+    :param rng: the source of randomness.
+    :param seconds: the period within which steps start, in s.
+    :param instances: the number of instances.
+    :returns: the steps, ordered by start.
+    """
+    steps: list[faults.Step] = []
+    quiet_starts: list[float] = []
+    phase_start = 0.0
+    while phase_start < seconds:
+        fault_end = min(seconds, phase_start + FAULT_PHASE_S)
+        steps += _generate_phase(
+            rng,
+            phase_start,
+            fault_end,
+            sorted(faults.FAULTS),
+            FAULT_INTERVALS_S,
+            instances,
+        )
+        quiet_starts.append(fault_end)
+        phase_start = fault_end + QUIET_PHASE_S
+        steps += _generate_phase(
+            rng,
+            fault_end + QUIET_DELAY_S,
+            min(seconds, phase_start),
+            sorted(faults.PLANNED),
+            QUIET_INTERVALS_S,
+            instances,
+        )
+    # Drawn last, so that the other steps of a seed don't depend on them.
+    steps += [
+        _generate_cut(rng, start + CUT_DELAY_S, instances)
+        for start in quiet_starts
+        if start + CUT_DELAY_S < seconds
+    ]
+    return sorted(steps, key=lambda step: step.at)
+
+
+def _generate_cut(rng, at, instances) -> faults.Step:
+    kind = rng.choice(sorted(faults.CUTS))
+    return faults.Step(
+        at, kind, rng.randint(1, instances), CUT_DURATION_S, rng.random()
+    )
+
+
+def _generate_phase(
+    rng, since, until, kinds, intervals_s, instances
+) -> list[faults.Step]:
+    steps = []
+    at = since + rng.uniform(*intervals_s)
+    while at < until:
+        steps.append(
+            faults.Step(
+                round(at, 3),
+                rng.choice(kinds),
+                rng.randint(1, instances),
+                round(rng.uniform(MIN_DURATION_S, MAX_DURATION_S), 3),
+                round(rng.random(), 3),
+            )
+        )
+        at += rng.uniform(*intervals_s)
+    return steps
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak import faults, layout, promises, records, running
+from soak import faults, layout, promises, records, running, schedule
 
 BOUNDS = layout.BOUNDS
 PLACE = 1
@@ -225,7 +225,7 @@
 
 
 def test_the_readers_of_a_region_are_cut_off_in_each_quiet_phase():
-    steps = faults.generate_steps(random.Random(1), 52.0, 6)
+    steps = schedule.generate_steps(random.Random(1), 52.0, 6)
     cuts = [step for step in steps if step.kind in faults.CUTS]
     assert len(cuts) == 2
     assert steps == sorted(steps, key=lambda step: step.at)
@@ -240,9 +240,9 @@
 
 
 def test_the_same_seed_gives_the_same_steps():
-    steps = faults.generate_steps(random.Random(5), 40.0, 6)
-    assert steps == faults.generate_steps(random.Random(5), 40.0, 6)
-    assert steps != faults.generate_steps(random.Random(6), 40.0, 6)
+    steps = schedule.generate_steps(random.Random(5), 40.0, 6)
+    assert steps == schedule.generate_steps(random.Random(5), 40.0, 6)
+    assert steps != schedule.generate_steps(random.Random(6), 40.0, 6)
 
 
 @pytest.mark.timeout(180)
