--- a/soak/backends.py
+++ b/soak/backends.py
@@ -14,8 +14,6 @@
 __all__ = ["BackendServer"]
 
 HEALTH_PATH = "/health"
-# How long a response is held back.
-RESPONSE_HOLD_S = 30.0
 DIALECT = headers.DIALECT
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -51,7 +51,6 @@
     reader: http.MessageReader
     writer: asyncio.StreamWriter
     boot: int
-    has_sent: bool = False
 
 
 class Caller:
@@ -139,7 +138,6 @@
         path=f"{path}{request_id}",
         method=method,
         idempotent=method in IDEMPOTENT_METHODS,
-        fresh=False,
         sent_at=0.0,
         deadline=timeout_s,
         body=body,
@@ -202,10 +200,8 @@
     }
     request_line = f"{sent.method} {sent.path} HTTP/1.1"
     sent.boot = connection.boot
-    sent.fresh = not connection.has_sent
     sent.sent_at = now
     sent.deadline = now + sent.deadline
-    connection.has_sent = True
     history.sent_by_id[sent.request_id] = sent
     connection.writer.write(http.render(request_line, header_fields, sent.body))
 
--- a/soak/records.py
+++ b/soak/records.py
@@ -28,7 +28,6 @@
     :param path: the path of the request.
     :param method: the HTTP method.
     :param idempotent: whether the request may run more than once.
-    :param fresh: whether it was the first request on its connection.
     :param sent_at: when it was sent.
     :param deadline: until when the caller expects a response. Before the request is
         sent, this is the time that the caller allows, in s.
@@ -48,7 +47,6 @@
     path: str
     method: str
     idempotent: bool
-    fresh: bool
     sent_at: float
     deadline: float
     body: bytes = dataclasses.field(default=b"", repr=False)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -45,24 +45,15 @@
     phase_start = 0.0
     while phase_start < seconds:
         fault_end = min(seconds, phase_start + FAULT_PHASE_S)
+        kinds = sorted(faults.FAULTS)
         steps += _generate_phase(
-            rng,
-            phase_start,
-            fault_end,
-            sorted(faults.FAULTS),
-            FAULT_INTERVALS_S,
-            instances,
+            rng, phase_start, fault_end, kinds, FAULT_INTERVALS_S, instances
         )
         quiet_starts.append(fault_end)
         phase_start = fault_end + QUIET_PHASE_S
-        steps += _generate_phase(
-            rng,
-            fault_end + QUIET_DELAY_S,
-            min(seconds, phase_start),
-            sorted(faults.PLANNED),
-            QUIET_INTERVALS_S,
-            instances,
-        )
+        since, until = fault_end + QUIET_DELAY_S, min(seconds, phase_start)
+        kinds = sorted(faults.PLANNED)
+        steps += _generate_phase(rng, since, until, kinds, QUIET_INTERVALS_S, instances)
     # Drawn last, so that the other steps of a seed don't depend on them.
     steps += [
         _generate_cut(rng, start + CUT_DELAY_S, instances)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,6 @@
         "boot": 1,
         "method": "POST",
         "idempotent": False,
-        "fresh": True,
         "sent_at": 100.0,
         "deadline": 102.0,
         "status": 200,
