--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -20,6 +20,7 @@
     front,
     inner,
     links,
+    load_reports,
     options,
     readers,
     relay,
@@ -35,14 +36,6 @@
 
 __all__ = ["Agent"]
 
-# Change in pace that is reported to other daemons at once; 1 is the usual pace.
-PACE_CHANGE_THRESHOLD = 0.3
-# Interval between load reports to the daemons of the region, in s.
-REPORT_INTERVAL_S = 0.1
-# Interval at which an unchanged report is sent again, in s.
-UNCHANGED_REPORT_INTERVAL_S = 0.5
-# Maximum number of reports sent per second, summed over all receiving daemons.
-MAX_REPORTS_PER_S = 60
 # Interval between checks of the membership, the links and a pending stop, in s.
 UPKEEP_INTERVAL_S = 0.1
 # Room in a message for everything but the body, in bytes.
@@ -116,7 +109,10 @@
             self._inner_port,
             self._clock,
         )
-        self.runner.on_load = self._handle_load
+        self._reporter = load_reports.LoadReporter(
+            self.gate, self._inner_port, self._clock
+        )
+        self.runner.on_load = self._reporter.handle_load
         self._tasks: list[asyncio.Task[None]] = []
 
     def _build_router(self) -> router.Router:
@@ -180,7 +176,7 @@
         await self._caller_server.start(
             settings.front.host, settings.front.port, front_socket
         )
-        self._tasks.append(tasks.spawn_supervised("publish", self._publish_reports))
+        self._tasks.append(tasks.spawn_supervised("publish", self._reporter.run))
         self._tasks.append(tasks.spawn_supervised("run_upkeep", self._run_upkeep))
         self._tasks.append(
             tasks.spawn_supervised("poll_pace_in_spells", self.gate.poll_pace_in_spells)
@@ -213,7 +209,7 @@
         self._caller_server.disable_keep_alive()
         await asyncio.sleep(GATE_GRACE_S)
         self.gate.leave()
-        self._inner_port.broadcast_load(self.gate.report())
+        self._reporter.report_now()
         await asyncio.sleep(CALLER_GRACE_S - GATE_GRACE_S)
         # A request accepted from here on might outlive the process.
         self._caller_server.close()
@@ -352,33 +348,6 @@
         else:
             self.gate.resume()
 
-    def _handle_load(self) -> None:
-        old_pace = self.gate.queue.pace
-        self.gate.update_pace()
-        changed = abs(self.gate.queue.pace - old_pace) > PACE_CHANGE_THRESHOLD
-        if changed and self._report_interval_s <= REPORT_INTERVAL_S:
-            # Other daemons place requests by the pace, and a change is short-lived.
-            self._inner_port.broadcast_load(self.gate.report())
-
-    @property
-    def _report_interval_s(self) -> float:
-        """Interval between reports that keeps to MAX_REPORTS_PER_S, in s."""
-        return max(REPORT_INTERVAL_S, self._inner_port.listeners / MAX_REPORTS_PER_S)
-
-    async def _publish_reports(self) -> None:
-        last_report: messages.LoadReport | None = None
-        resend_at = self._clock()
-        while True:
-            await asyncio.sleep(self._report_interval_s)
-            report = self.gate.report()
-            now = self._clock()
-            if report != last_report or now >= resend_at:
-                self._inner_port.broadcast_load(report)
-                last_report = report
-                resend_at = now + max(
-                    UNCHANGED_REPORT_INTERVAL_S, self._report_interval_s
-                )
-
     async def _answer_readiness(self, request: http.Request) -> http.Response:
         if request.target.partition("?")[0] != self._dialect.readiness_path:
             return http.Response(404)
