Give up connections to a former address when it changes, also those in use

What callers would see: after a reload with another address of the store, a daemon goes on with the former store's configurations, and after one with another address of the backend server, with the former server and its id.

Cause: a call in progress took its connection from the pool of the former address and gave it back to the pool of the new one, which then used it first. The answer to a probe in progress also set the id and the load of the former server.

Change: a closed pool closes what is given back to it, each call keeps the pool that it took its connection from, and answers from a former address tell nothing about the new one.

--- a/src/savoryhollow/http1/backends.py
+++ b/src/savoryhollow/http1/backends.py
@@ -254,6 +254,7 @@
     :param opened_count: the number of connections opened so far.
     :param cautious_until: the end of the current cautious period, in which only
         connections that were idle for a short time are reused.
+    :param closed: whether connections are closed when they are released.
     :param idle: the idle connections, the most recently used one last.
     :param clock: returns the current time of the event loop, in s.
     """
@@ -262,6 +263,7 @@
     port: int
     opened_count: int = 0
     cautious_until: float = float("-inf")
+    closed: bool = False
     idle: list[Connection] = dataclasses.field(default_factory=list)
     clock: collections.abc.Callable[[], float] = dataclasses.field(
         default_factory=lambda: asyncio.get_running_loop().time
@@ -286,7 +288,7 @@
 
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool, or close it if it is no longer usable."""
-        if connection.usable:
+        if connection.usable and not self.closed:
             self.idle.append(connection)
         else:
             connection.abort()
@@ -296,7 +298,8 @@
         self.cautious_until = self.clock() + CAUTIOUS_PERIOD_S
 
     def close(self) -> None:
-        """Close all idle connections."""
+        """Close all idle connections, and the others when they are released."""
+        self.closed = True
         for connection in self.idle:
             connection.abort()
         self.idle.clear()
--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -164,6 +164,7 @@
         target = f"/api/{operation}?{urllib.parse.urlencode(query)}"
         headers = (calls.Header("Host", self._host),)
         data = messages.render_request(messages.Request("GET", target, headers, b""))
+        pool = self._pool
         latest = self._clock() + wait_s + TRANSFER_TIMEOUT_S
         try:
             async with asyncio.timeout(wait_s + self._response_timeout_s) as timeout:
@@ -173,7 +174,7 @@
                         due_at = self._clock() + self._response_timeout_s
                         timeout.reschedule(min(latest, due_at))
 
-                connection, _ = await self._pool.acquire()
+                connection, _ = await pool.acquire()
                 response = await connection.exchange(data, on_data=extend_timeout)
         except TimeoutError as error:
             self._response_timeout_s = min(
@@ -181,7 +182,7 @@
             )
             message = f"the store didn't answer {operation} in time; check it"
             raise errors.StoreError(message) from error
-        self._pool.release(connection)
+        pool.release(connection)
         if response.status == HISTORY_GONE_STATUS:
             return None
         if response.status != 200:
--- a/src/savoryhollow/proxy/backend_runner.py
+++ b/src/savoryhollow/proxy/backend_runner.py
@@ -94,15 +94,16 @@
         :param call: the request.
         :param deadline: the time after which its response is no longer useful.
         """
+        pool = self.pool
         try:
-            connection, reused = await self._acquire()
+            connection, reused = await self._acquire(pool)
         except errors.BackendError as error:
             return BackendResult(
                 reason=calls.NotRunReason.UNREACHABLE, detail=str(error)
             )
-        now = self.pool.clock()
+        now = pool.clock()
         if now >= deadline - RESPONSE_MARGIN_S:
-            self.pool.release(connection)
+            pool.release(connection)
             return BackendResult(reason=calls.NotRunReason.DEADLINE)
         data = messages.render_request(self._build_request(call, deadline - now))
         sent_request_id = messages.find_header(call.headers, self._dialect.request_id)
@@ -118,10 +119,10 @@
                 reason = calls.NotRunReason.UNREACHABLE
                 return BackendResult(reason=reason, detail=str(error))
             if reused and not error.response_started:
-                self.pool.record_stale_connection()
+                pool.record_stale_connection()
             return BackendResult(detail=str(error))
-        self.pool.release(connection)
-        return self._classify_response(response)
+        pool.release(connection)
+        return self._classify_response(response, is_current=pool is self.pool)
 
     def change_address(self, host: str, port: int) -> None:
         """Send later requests to another address; running ones are finished."""
@@ -149,34 +150,38 @@
         """
         headers = (calls.Header("Host", f"{self.pool.host}:{self.pool.port}"),)
         request = messages.Request("GET", self.probe_path, headers, b"")
+        pool = self.pool
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                connection, _ = await self._acquire()
+                connection, _ = await self._acquire(pool)
                 response = await connection.exchange(messages.render_request(request))
         except (errors.BackendError, TimeoutError) as error:
             self._probe_backoff_until = self.pool.clock() + PROBE_TIMEOUT_S
             events.emit(events.Event.PROBE_FAILED, detail=repr(error))
             return None
-        self.pool.release(connection)
+        pool.release(connection)
+        if pool is not self.pool:
+            # The address changed meanwhile, so the load is that of another server.
+            return None
         endpoint_id = messages.find_header(response.headers, self._dialect.endpoint_id)
         self.endpoint_id = endpoint_id or self.endpoint_id
         self._record_load(response)
         return self.load
 
-    async def _acquire(self) -> tuple[backends.Connection, bool]:
+    async def _acquire(self, pool: backends.Pool) -> tuple[backends.Connection, bool]:
         """Return a connection and whether it is reused; log changes in reachability.
 
         :raises errors.BackendError: if no connection can be opened.
         """
         try:
-            acquired = await self.pool.acquire()
+            acquired = await pool.acquire()
         except errors.BackendError as error:
             if self._reachable is not False:
                 events.emit(events.Event.BACKEND_LOST, detail=str(error))
             self._reachable = False
             raise
         if not self._reachable:
-            events.emit(events.Event.BACKEND_REGAINED, host=self.pool.host)
+            events.emit(events.Event.BACKEND_REGAINED, host=pool.host)
         self._reachable = True
         return acquired
 
@@ -200,12 +205,21 @@
             self.load_received_at = self.pool.clock()
             self.on_load()
 
-    def _classify_response(self, response: messages.Response) -> BackendResult:
+    def _classify_response(
+        self, response: messages.Response, is_current: bool
+    ) -> BackendResult:
+        """Return the result that a response stands for.
+
+        :param is_current: whether it came from the current address, so that it tells
+            about the backend server there.
+        """
         names = self._dialect
-        self._record_load(response)
         headers = response.headers
+        if is_current:
+            self._record_load(response)
         if response.status == 421:
-            self.endpoint_id = messages.find_header(headers, names.endpoint_id)
+            if is_current:
+                self.endpoint_id = messages.find_header(headers, names.endpoint_id)
             return BackendResult(reason=calls.NotRunReason.MISDIRECTED)
         if messages.find_header(headers, names.not_executed) is not None:
             return BackendResult(reason=calls.NotRunReason.REJECTED)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -314,6 +314,22 @@
     run_with_timeout(main)
 
 
+def test_a_connection_that_is_in_use_is_not_kept_after_its_pool_was_closed():
+    """The address may belong to another server by now."""
+
+    async def main():
+        async with backend([response_bytes("r1")]) as port:
+            pool = backends.Pool("127.0.0.1", port)
+            connection, _ = await pool.acquire()
+            await send_request(connection, "r1")
+            pool.close()
+            pool.release(connection)
+            assert not connection.usable
+            assert pool.idle == []
+
+    run_with_timeout(main)
+
+
 def test_without_a_connection_nothing_was_started():
     async def main():
         with pytest.raises(errors.BackendError) as caught:
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -250,3 +250,31 @@
         assert False not in readers.contacts
 
     asyncio.run(main())
+
+
+def test_a_changed_address_of_the_store_is_used_after_the_watch_in_progress():
+    """Else the former store would be read for as long as it keeps the connection."""
+
+    async def main():
+        stores, servers, ports = [FakeStore(), FakeStore()], [], []
+        for one in stores:
+            servers.append(callers.Server(one.handle))
+            await servers[-1].start("127.0.0.1", 0)
+            ports.append(servers[-1]._server.sockets[0].getsockname()[1])
+        readers = FakeReaders()
+        stores[0].put("a", b"former")
+        stores[1].revision = 100
+        stores[1].put("a", b"new")
+        follower = store.StoreFollower(models.Target("127.0.0.1", ports[0]), readers)
+        task = asyncio.create_task(follower.run())
+        async with asyncio.timeout(10):
+            while len(stores[0].watch_waits_ms) < 2:
+                await asyncio.sleep(0)
+            follower.change_address(models.Target("127.0.0.1", ports[1]))
+            while readers.content_by_key.get("a") != b"new":
+                await asyncio.sleep(0.001)
+        task.cancel()
+        for server in servers:
+            server.close()
+
+    asyncio.run(main())
