Keep the largest response within a message between daemons

A response of 17 MiB and its headers would exceed the 17 MiB of the inner protocol and close the link with all requests on it; the limit is 16 MiB now. Seen when the diff was read, before it landed.

--- a/src/savoryhollow/http1/backends.py
+++ b/src/savoryhollow/http1/backends.py
@@ -24,8 +24,9 @@
 IDLE_MARGIN_S = 1.0
 # Maximum idle time of a connection to be reused in a cautious period, in s.
 CAUTIOUS_MAX_IDLE_S = 0.2
-# Limit of what is received in one exchange, in bytes.
-MAX_RESPONSE_BYTES = 17 << 20
+# Limit of what is received in one exchange, in bytes. A response has to fit into a
+# message between daemons.
+MAX_RESPONSE_BYTES = 16 << 20
 # Limit of what is received without any part of a body, in bytes.
 MAX_HEAD_BYTES = 1 << 16
 # Length of the cautious period after a server has dropped an idle connection, in s.
