Count the time that a request waited unread for the daemon's start

What callers saw: requests sent to a daemon that was just being restarted ran with a deadline 0.52 to 1.16 s later than the caller's (0.5 s allowed), so an endpoint may work on for a caller that is gone.

Cause: the port for callers listens before the libraries are loaded, and the time that a request is given counted from when it was read.

Change: for the first data of a connection that is read within a second of the start, the kernel tells how long it was in the buffer, and the request counts as received then, at the earliest when the port began to listen. Where the kernel doesn't tell, all is as before.

--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -15,7 +15,7 @@
 import httptools
 
 from savoryhollow import calls
-from savoryhollow.http1 import messages
+from savoryhollow.http1 import messages, tcp_info
 
 __all__ = ["CallerConnection", "Handler", "Limits", "Server"]
 
@@ -25,6 +25,8 @@
 BACKLOG = 1024
 # Time for the caller to read what is still buffered when a connection is closed, in s.
 CLOSE_TIMEOUT_S = 1.0
+# Time after the start in which connections may have waited for it, in s.
+START_WINDOW_S = 1.0
 # Methods whose requests may run concurrently with others of the same connection.
 CONCURRENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 
@@ -83,6 +85,8 @@
             [int, tuple[calls.Header, ...]], None
         ] = lambda status, headers: None
         self.connections: set[CallerConnection] = set()
+        self._listening_since: float | None = None
+        self._started_at = float("-inf")
         self._server: asyncio.Server | None = None
 
     @property
@@ -91,21 +95,42 @@
         return sum(connection.pending_count for connection in self.connections)
 
     async def start(
-        self, host: str, port: int, listening_socket: socket.socket | None = None
+        self,
+        host: str,
+        port: int,
+        listening_socket: socket.socket | None = None,
+        listening_since: float | None = None,
     ) -> None:
         """Start to accept connections.
 
         :param host: the IP address to listen on.
         :param port: the port to listen on.
         :param listening_socket: a listening socket to use instead of a new one.
+        :param listening_since: the time since which it has been listening, if
+            connections may have waited for the start.
         """
         if listening_socket is None:
             listening_socket = socket.create_server((host, port), backlog=BACKLOG)
+            listening_since = None
         loop = asyncio.get_running_loop()
+        self._listening_since = listening_since
+        self._started_at = loop.time()
         self._server = await loop.create_server(
             lambda: CallerConnection(self), sock=listening_socket, backlog=BACKLOG
         )
 
+    def first_data_arrived_at(self, transport: asyncio.Transport, now: float) -> float:
+        """Return when the first data of a connection arrived.
+
+        :param transport: the transport that has just read the data.
+        :param now: the current time.
+        """
+        if self._listening_since is None or now > self._started_at + START_WINDOW_S:
+            return now
+        # The connection may have waited for the start with its data unread.
+        age_s = tcp_info.last_data_age_s(transport.get_extra_info("socket"))
+        return max(self._listening_since, now - age_s)
+
     def disable_keep_alive(self) -> None:
         """Close each connection with a response after which no request is pending."""
         self.closing = True
@@ -137,6 +162,7 @@
         self._pipeline: collections.deque[_PipelinedRequest] = collections.deque()
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._data_arrived_at: float | None = None
         self._closed = False
         self._reset_message()
 
@@ -171,6 +197,7 @@
         """Parse data from the caller."""
         if self._closed:
             return
+        self._record_arrival()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -179,6 +206,13 @@
             self._reject(400)
         self._restart_timer()
 
+    def _record_arrival(self) -> None:
+        assert self._transport is not None
+        now = self._loop.time()
+        if self._data_arrived_at is None:
+            now = self._server.first_data_arrived_at(self._transport, now)
+        self._data_arrived_at = now
+
     # -----------------------------------------------------------------------
     #   Callbacks of the parser
     # -----------------------------------------------------------------------
@@ -234,12 +268,13 @@
             # The request is dropped without a response. It has not run, so the
             # caller can safely send it again on another connection.
             return
+        assert self._data_arrived_at is not None
         request = messages.Request(
             method=self._parser.get_method().decode("latin-1"),
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
             body=b"".join(self._body),
-            received_at=self._loop.time(),
+            received_at=self._data_arrived_at,
             keep_alive=self._parser.should_keep_alive(),
         )
         self._pipeline.append(_PipelinedRequest(request))
--- a/src/savoryhollow/platform/__main__.py
+++ b/src/savoryhollow/platform/__main__.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+import time
 
 # SIGHUP means that the settings have changed; by default it would end the process.
 # It is ignored until libraries are loaded, as the settings are only read afterwards.
@@ -10,12 +11,13 @@
 from savoryhollow.platform import early  # noqa: E402
 
 if __name__ == "__main__":
+    listening_since = time.monotonic()
     front_socket = early.listen(early.settings_path())
 
     from savoryhollow import errors
     from savoryhollow.platform import process
 
     try:
-        sys.exit(process.run(front_socket))
+        sys.exit(process.run(front_socket, listening_since))
     except errors.SettingsError as error:
         sys.exit(str(error))
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -147,6 +147,7 @@
     last_stamp: tuple[int, int],
     settings: boot.BootSettings,
     front_socket: socket.socket | None,
+    listening_since: float,
 ) -> bool:
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
@@ -156,7 +157,8 @@
     agent = adapter.agent
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
-    await agent.start(_matching_socket(front_socket, settings.agent.front))
+    front_socket = _matching_socket(front_socket, settings.agent.front)
+    await agent.start(front_socket, listening_since)
     tasks.spawn_supervised(
         "settings", lambda: adapter.follow_settings(path, last_stamp, reload_requested)
     )
@@ -185,10 +187,11 @@
     return None
 
 
-def run(front_socket: socket.socket | None = None) -> int:
+def run(front_socket: socket.socket | None, listening_since: float) -> int:
     """Run a daemon until SIGTERM or SIGINT.
 
     :param front_socket: a socket that is already listening for callers, if any.
+    :param listening_since: the monotonic time since which it has been listening, in s.
     :returns: the exit status: 0 if all requests had ended, else 1.
     :raises errors.SettingsError: if the settings are invalid.
     """
@@ -197,7 +200,9 @@
     settings = boot.read(path)
     events.configure(settings.agent.instance, stream=output.LossyStream(1))
     with asyncio.Runner() as runner:
-        drained = runner.run(_serve(path, last_stamp, settings, front_socket))
+        drained = runner.run(
+            _serve(path, last_stamp, settings, front_socket, listening_since)
+        )
         logging.shutdown()
         # An ordinary exit would wait for links to peers that don't answer.
         os._exit(0 if drained else 1)
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -160,11 +160,16 @@
     #   Lifecycle
     # -----------------------------------------------------------------------
 
-    async def start(self, front_socket: socket.socket | None = None) -> None:
+    async def start(
+        self,
+        front_socket: socket.socket | None = None,
+        listening_since: float | None = None,
+    ) -> None:
         """Open all ports and start the background tasks.
 
         :param front_socket: a socket that already listens for callers; if None,
             a new one is opened.
+        :param listening_since: the time since which it has been listening.
         """
         settings = self.settings
         for address in settings.inner:
@@ -174,7 +179,7 @@
         )
         await self._metrics_server.start(settings.metrics.host, settings.metrics.port)
         await self._caller_server.start(
-            settings.front.host, settings.front.port, front_socket
+            settings.front.host, settings.front.port, front_socket, listening_since
         )
         self._tasks.append(tasks.spawn_supervised("publish", self._reporter.run))
         self._tasks.append(tasks.spawn_supervised("run_upkeep", self._run_upkeep))
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -126,6 +126,39 @@
     run_with_timeout(main)
 
 
+def test_the_time_a_request_waited_for_the_daemon_to_start_counts(tmp_path):
+    """Else the endpoint gets a deadline that is later than the caller's."""
+
+    async def main():
+        path = tmp_path / "settings"
+        path.write_text('[listen]\noutbound = "127.0.0.1:0"\n')
+        listening_since = asyncio.get_running_loop().time()
+        early_socket = early.listen(path)
+        _, writer = await asyncio.open_connection(*early_socket.getsockname())
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.3)
+        started_at = asyncio.get_running_loop().time()
+        received_at = asyncio.get_running_loop().create_future()
+
+        async def handle(request):
+            if not received_at.done():
+                received_at.set_result(request.received_at)
+            return http.Response(200)
+
+        server = callers.Server(handle)
+        await server.start("127.0.0.1", 0, early_socket, listening_since)
+        assert listening_since <= await received_at < started_at
+        # A request that comes when the daemon runs has not waited.
+        second_at = asyncio.get_running_loop().time()
+        received_at = asyncio.get_running_loop().create_future()
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert await received_at >= second_at
+        writer.close()
+        server.close()
+
+    run_with_timeout(main)
+
+
 def test_unreadable_settings_open_no_port(tmp_path):
     path = tmp_path / "settings"
     for content in ("", "[listen", '[listen]\noutbound = "nowhere"', "listen = 3"):
