Don't count probes as retries in the soak test

The users' rule counts requests of consumers, which have an id. All arrivals with an id count as before.

Test: test_probes_without_an_id_are_no_retries fails on the check before.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -159,7 +159,8 @@
     seen: set[str] = set()
     times = []
     for arrival in sorted(history.arrivals, key=lambda arrival: arrival.at):
-        if arrival.service != service:
+        # Probes have no id; each is a request of its own.
+        if arrival.service != service or not arrival.request_id:
             continue
         if arrival.request_id in seen:
             times.append(arrival.at)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -223,6 +223,12 @@
     assert violated_checks(history) == {"find_late_configurations"}
 
 
+def test_probes_without_an_id_are_no_retries():
+    """Each daemon probes its backend server at the start, before any request."""
+    probes = [make_arrival(100 + 0.1 * n, "") for n in range(20)]
+    assert not violated_checks(make_history(*probes))
+
+
 def test_the_readers_of_a_region_are_cut_off_in_each_quiet_phase():
     steps = schedule.generate_steps(random.Random(1), 52.0, 6)
     cuts = [step for step in steps if step.kind in faults.CUTS]
