--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -32,7 +32,7 @@
 # Routes that later configurations add; the oldest are removed beyond this number.
 MAX_ADDED_PREFIXES = 4
 READY_TIMEOUT_S = 60.0
-# Timeout for a daemon's answer about its state.
+# Timeout for a daemon's answer about its state, in s.
 ANSWER_TIMEOUT_S = 1.0
 POLL_INTERVAL_S = 0.1
 # A longer delay of the event loop counts as a disturbance, because it distorts the
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -230,6 +230,7 @@
 
 
 def test_the_readers_of_a_region_are_cut_off_in_each_quiet_phase():
+    """Without these steps a reader that vouches for old items goes unnoticed."""
     steps = schedule.generate_steps(random.Random(1), 52.0, 6)
     cuts = [step for step in steps if step.kind in faults.CUTS]
     assert len(cuts) == 2
