Believe a response only if it certainly belongs to the request

Cause: a response without an id was accepted as that of the request in progress, also on a connection that had carried others. A backend server that writes an earlier response once more, such as that of a refused probe, made a request that runs end as 503 or 429, or sent it to a second backend server (503 with the mark, 421). A 503, 429 or 408 of the server's own without the mark was passed on, which promises that nothing ran.

Ruled out: copies with another id, which were ignored before; a head or body that breaks off at any byte (test_http1), which never counted as whole on this path.

--- a/src/savoryhollow/http1/backends.py
+++ b/src/savoryhollow/http1/backends.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client connections to backend servers and other servers.
 
-A response is accepted only if it is complete. A response that carries the id of
-another request belongs to an earlier request and is ignored.
+A response is accepted only if it is complete and belongs to the request. Others, such
+as a second copy of an earlier response, are ignored.
 """
 
 import asyncio
@@ -13,7 +13,7 @@
 from savoryhollow import calls, errors
 from savoryhollow.http1 import messages
 
-__all__ = ["Connection", "Pool", "open_connection"]
+__all__ = ["Connection", "Pool", "is_response_to", "open_connection"]
 
 # Timeout for establishing a connection, in s.
 CONNECT_TIMEOUT_S = 1.0
@@ -33,6 +33,24 @@
 CAUTIOUS_PERIOD_S = 30.0
 
 
+def is_response_to(
+    request_id: str | None, response_id: str | None, *, is_first_request: bool
+) -> bool:
+    """Return True if a response certainly belongs to the request in progress.
+
+    Servers repeat the id of a request in its response. Without an id, only the place
+    of a response on the connection tells: the first one belongs to the first request,
+    but a later one may be a second copy of a response to an earlier request.
+
+    :param request_id: the id of the request in progress; None if it has none.
+    :param response_id: the id in the response; None if it has none.
+    :param is_first_request: whether the request is the first on its connection.
+    """
+    if response_id is None and request_id is not None:
+        return is_first_request
+    return response_id == request_id
+
+
 class Connection(asyncio.Protocol):
     """A connection to a server that carries one request at a time."""
 
@@ -44,6 +62,7 @@
         self._on_data: collections.abc.Callable[[], None] = lambda: None
         self._id_header: str | None = None
         self._request_id: str | None = None
+        self._requests_sent = 0
         self.usable = True
         self.idle_until = float("inf")
         self.idle_since = self._loop.time()
@@ -67,9 +86,9 @@
 
         :param data: the serialized request.
         :param id_header: the name of the response header that carries the id of the
-            request.
-        :param request_id: the id of the request; responses with another id are
-            ignored, and responses without an id are accepted.
+            request; if None, the next response is accepted.
+        :param request_id: the id of the request, if it has one; responses that don't
+            certainly belong to it are ignored.
         :param on_data: called whenever a part of the response was received.
         :returns: the complete response.
         :raises errors.BackendError: if no complete response was received.
@@ -80,6 +99,7 @@
         self._response_future = self._loop.create_future()
         self._id_header = id_header
         self._request_id = request_id
+        self._requests_sent += 1
         self._on_data = on_data
         self._response_started = False
         self._received_bytes = 0
@@ -169,6 +189,10 @@
     def on_message_begin(self) -> None:
         """Start a new response."""
         self._reset_message()
+        if self._response_future is None or self._response_future.done():
+            # More follows a complete response, so what comes next on the connection
+            # can't be told from the response to a later request.
+            self.usable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
@@ -202,7 +226,11 @@
         self._headers_complete = False
         status = self._parser.get_status_code()
         headers = tuple(self._headers)
-        if status < 200 or self._is_for_another_request(headers):
+        if status < 200:
+            return
+        if not self._is_awaited(headers):
+            # The server repeats responses, so the connection isn't used again.
+            self.usable = False
             return
         if self._ends_at_close or not self._parser.should_keep_alive():
             self.usable = False
@@ -213,11 +241,14 @@
         body = b"".join(self._body)
         self._response_future.set_result(messages.Response(status, headers, body))
 
-    def _is_for_another_request(self, headers: tuple[calls.Header, ...]) -> bool:
-        if self._id_header is None or self._request_id is None:
-            return False
+    def _is_awaited(self, headers: tuple[calls.Header, ...]) -> bool:
+        if self._id_header is None:
+            return True
         response_id = messages.find_header(headers, self._id_header)
-        return response_id is not None and response_id != self._request_id
+        is_first_request = self._requests_sent == 1
+        return is_response_to(
+            self._request_id, response_id, is_first_request=is_first_request
+        )
 
     def _update_idle_until(self, headers: tuple[calls.Header, ...]) -> None:
         timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -270,14 +301,15 @@
         default_factory=lambda: asyncio.get_running_loop().time
     )
 
-    async def acquire(self) -> tuple[Connection, bool]:
+    async def acquire(self, *, reuse: bool = True) -> tuple[Connection, bool]:
         """Return a connection and whether it was used before.
 
+        :param reuse: whether an idle connection may be returned.
         :returns: the connection, and True if it is a reused one.
         :raises errors.BackendError: if a new connection can't be opened.
         """
         now = self.clock()
-        while self.idle:
+        while reuse and self.idle:
             connection = self.idle.pop()
             idle_s = now - connection.idle_since
             is_suspect = now < self.cautious_until and idle_s > CAUTIOUS_MAX_IDLE_S
--- a/src/savoryhollow/proxy/backend_runner.py
+++ b/src/savoryhollow/proxy/backend_runner.py
@@ -1,4 +1,4 @@
-"""Run requests on the backend server of this instance and classify its responses."""
+"""Run requests on the backend server of this instance and track its load."""
 
 import asyncio
 import collections.abc
@@ -8,10 +8,11 @@
 from savoryhollow import calls, errors
 from savoryhollow.http1 import backends, messages
 from savoryhollow.observe import events
+from savoryhollow.proxy import backend_responses
 from savoryhollow.proxy import dialect as dialect_module
 from savoryhollow.wire import messages as wire
 
-__all__ = ["BackendLoad", "BackendResult", "BackendRunner", "parse_load"]
+__all__ = ["BackendLoad", "BackendRunner", "parse_load"]
 
 # Time past the deadline in which the backend server may still report the timeout
 # itself, in s.
@@ -40,20 +41,6 @@
     pace_percent: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BackendResult:
-    """The result of sending a request to the backend server.
-
-    :param response: the complete response, if there is one that may be forwarded.
-    :param reason: why the request was not run, if it is certain that it was not.
-    :param detail: what went wrong; always set if it is unknown whether it ran.
-    """
-
-    response: messages.Response | None = None
-    reason: calls.NotRunReason | None = None
-    detail: str = ""
-
-
 def parse_load(value: str | None) -> BackendLoad | None:
     """Parse the value of a load header; return None if it is missing or invalid."""
     parts = (value or "").split(",")
@@ -88,39 +75,42 @@
         self._reachable: bool | None = None
         self.on_load: collections.abc.Callable[[], None] = lambda: None
 
-    async def run(self, call: wire.CallMessage, deadline: float) -> BackendResult:
+    async def run(
+        self, call: wire.CallMessage, deadline: float
+    ) -> backend_responses.BackendResult:
         """Send a request to the backend server, at most once.
 
         :param call: the request.
         :param deadline: the time after which its response is no longer useful.
         """
         pool = self.pool
+        request_id = messages.find_header(call.headers, self._dialect.request_id)
         try:
-            connection, reused = await self._acquire(pool)
+            # Without an id, only the first response on a connection can be matched.
+            connection, reused = await self._acquire(pool, reuse=bool(request_id))
         except errors.BackendError as error:
-            return BackendResult(
+            return backend_responses.BackendResult(
                 reason=calls.NotRunReason.UNREACHABLE, detail=str(error)
             )
         now = pool.clock()
         if now >= deadline - RESPONSE_MARGIN_S:
             pool.release(connection)
-            return BackendResult(reason=calls.NotRunReason.DEADLINE)
+            return backend_responses.BackendResult(reason=calls.NotRunReason.DEADLINE)
         data = messages.render_request(self._build_request(call, deadline - now))
-        sent_request_id = messages.find_header(call.headers, self._dialect.request_id)
         try:
             async with asyncio.timeout_at(deadline + RESPONSE_GRACE_S):
                 response = await connection.exchange(
-                    data, self._dialect.request_id, sent_request_id
+                    data, self._dialect.request_id, request_id
                 )
         except TimeoutError:
-            return BackendResult(detail="no answer by the deadline")
+            return backend_responses.BackendResult(detail="no answer by the deadline")
         except errors.BackendError as error:
             if not error.started:
                 reason = calls.NotRunReason.UNREACHABLE
-                return BackendResult(reason=reason, detail=str(error))
+                return backend_responses.BackendResult(reason=reason, detail=str(error))
             if reused and not error.response_started:
                 pool.record_stale_connection()
-            return BackendResult(detail=str(error))
+            return backend_responses.BackendResult(detail=str(error))
         pool.release(connection)
         return self._classify_response(response, is_current=pool is self.pool)
 
@@ -154,7 +144,10 @@
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 connection, _ = await self._acquire(pool)
-                response = await connection.exchange(messages.render_request(request))
+                # A response that carries an id belongs to an earlier request.
+                response = await connection.exchange(
+                    messages.render_request(request), self._dialect.request_id
+                )
         except (errors.BackendError, TimeoutError) as error:
             self._probe_backoff_until = self.pool.clock() + PROBE_TIMEOUT_S
             events.emit(events.Event.PROBE_FAILED, detail=repr(error))
@@ -168,13 +161,16 @@
         self._record_load(response)
         return self.load
 
-    async def _acquire(self, pool: backends.Pool) -> tuple[backends.Connection, bool]:
+    async def _acquire(
+        self, pool: backends.Pool, *, reuse: bool = True
+    ) -> tuple[backends.Connection, bool]:
         """Return a connection and whether it is reused; log changes in reachability.
 
+        :param reuse: whether an idle connection may be used.
         :raises errors.BackendError: if no connection can be opened.
         """
         try:
-            acquired = await pool.acquire()
+            acquired = await pool.acquire(reuse=reuse)
         except errors.BackendError as error:
             if self._reachable is not False:
                 events.emit(events.Event.BACKEND_LOST, detail=str(error))
@@ -207,32 +203,16 @@
 
     def _classify_response(
         self, response: messages.Response, is_current: bool
-    ) -> BackendResult:
+    ) -> backend_responses.BackendResult:
         """Return the result that a response stands for.
 
         :param is_current: whether it came from the current address, so that it tells
             about the backend server there.
         """
-        names = self._dialect
-        headers = response.headers
         if is_current:
             self._record_load(response)
-        if response.status == 421:
-            if is_current:
-                self.endpoint_id = messages.find_header(headers, names.endpoint_id)
-            return BackendResult(reason=calls.NotRunReason.MISDIRECTED)
-        if messages.find_header(headers, names.not_executed) is not None:
-            return BackendResult(reason=calls.NotRunReason.REJECTED)
-        signed = messages.find_header(headers, names.signature) is not None
-        if 200 <= response.status < 300 and not signed:
-            return BackendResult(detail="the response lacks the signature header")
-        if messages.find_header(headers, "content-encoding") is not None:
-            return BackendResult(
-                detail="the response has a Content-Encoding that was not requested"
-            )
-        kept = tuple(
-            header
-            for header in messages.end_to_end_headers(headers)
-            if header.name.lower() != names.load.lower()
-        )
-        return BackendResult(messages.Response(response.status, kept, response.body))
+            if response.status == backend_responses.MISDIRECTED_STATUS:
+                self.endpoint_id = messages.find_header(
+                    response.headers, self._dialect.endpoint_id
+                )
+        return backend_responses.interpret(response, self._dialect)
--- a/src/savoryhollow/proxy/gate.py
+++ b/src/savoryhollow/proxy/gate.py
@@ -11,7 +11,7 @@
 from savoryhollow import calls
 from savoryhollow.admission import objectives
 from savoryhollow.observe import events
-from savoryhollow.proxy import backend_runner
+from savoryhollow.proxy import backend_responses, backend_runner
 from savoryhollow.wire import messages
 
 __all__ = ["Answer", "Gate", "usable_slots"]
@@ -131,7 +131,7 @@
         return self._build_answer(call, entry, result)
 
     def _build_answer(
-        self, call, entry, result: backend_runner.BackendResult
+        self, call, entry, result: backend_responses.BackendResult
     ) -> Answer:
         if result.reason is not None:
             return self._refuse(call, entry, result.reason)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -6,7 +6,7 @@
 from savoryhollow import calls, errors
 from savoryhollow.http1 import messages as http
 from savoryhollow.membership import directory, table
-from savoryhollow.proxy import backend_runner, options
+from savoryhollow.proxy import backend_responses, options
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.proxy import router as router_module
 from savoryhollow.routing import nearby, placement
@@ -14,7 +14,7 @@
 
 RULES = options.RetryRules(ratio=0.2, slack=100.0, window_s=10.0)
 OK = http.Response(200, (), b"ok")
-INCOMPLETE = backend_runner.BackendResult(detail="cut short")
+INCOMPLETE = backend_responses.BackendResult(detail="cut short")
 
 
 def run_with_timeout(main):
@@ -36,7 +36,7 @@
     """
 
     def __init__(self, result=None):
-        self.result = backend_runner.BackendResult(OK) if result is None else result
+        self.result = backend_responses.BackendResult(OK) if result is None else result
         self.load = None
         self.load_received_at = float("-inf")
         self.started = []
@@ -137,7 +137,7 @@
         for result, cls in (
             (INCOMPLETE, messages.UnknownMessage),
             (
-                backend_runner.BackendResult(reason=calls.NotRunReason.REJECTED),
+                backend_responses.BackendResult(reason=calls.NotRunReason.REJECTED),
                 messages.NotRunMessage,
             ),
         ):
--- a/tests/test_proxy_events.py
+++ b/tests/test_proxy_events.py
@@ -7,11 +7,11 @@
 from savoryhollow import calls
 from savoryhollow.http1 import backends
 from savoryhollow.observe import events
-from savoryhollow.proxy import backend_runner
+from savoryhollow.proxy import backend_responses, backend_runner
 from tests import test_agent, test_http1, test_proxy
 
 LOAD = test_proxy.LOAD
-REJECTED = backend_runner.BackendResult(reason=calls.NotRunReason.REJECTED)
+REJECTED = backend_responses.BackendResult(reason=calls.NotRunReason.REJECTED)
 
 
 @pytest.fixture
