Reject cut off heads and copies of responses on the threaded path

Cause: http.client takes the end of the input for the end of the headers, so a response that broke off in its head with Content-Length 0 or status 204, or before the end of its last chunk, counted as whole: callers got an empty success. A late copy of a response on a reused connection was taken for the response to the next request.

Change: a response whose lines were cut off is incomplete. A response with another request id is an error with an unknown outcome, and a connection is reused only if the server repeats the request id; the emulated server does.

--- a/emulator/backend_server.py
+++ b/emulator/backend_server.py
@@ -93,7 +93,11 @@
             if run_s > 0:
                 time.sleep(run_s)
         body = request_id.encode().ljust(state.answer_bytes, b".")
-        headers = (calls.Header("X-Run", request_id), *_echo_headers(request))
+        headers = (
+            calls.Header("X-Run", request_id),
+            calls.Header("X-Request-Id", request_id),
+            *_echo_headers(request),
+        )
         return webserver.HttpResponse(200, headers, body)
 
 
--- a/src/savoryhollow/backend/client.py
+++ b/src/savoryhollow/backend/client.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import http.client
+import io
 import threading
 import time
 
@@ -40,6 +41,30 @@
     body: bytes
 
 
+class _LineReader(io.BufferedReader):
+    """A buffered reader that records whether the input ended within a line."""
+
+    line_cut = False
+
+    def readline(self, size: int | None = -1) -> bytes:
+        """Read a line."""
+        line = super().readline(size)
+        self.line_cut = self.line_cut or not line.endswith(b"\n")
+        return line
+
+
+class _Response(http.client.HTTPResponse):
+    """A response that records whether its head or a chunk line was cut off.
+
+    :mod:`http.client` takes the end of the input for the end of the headers.
+    """
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.lines = _LineReader(self.fp.detach())
+        self.fp = self.lines
+
+
 class BackendClient:
     """Sends calls to one backend server and keeps idle connections for reuse.
 
@@ -47,6 +72,10 @@
     the methods of :class:`http.client.HTTPConnection`: a gate needs neither the
     pool of urllib3 nor its retries or its decoding of responses.
 
+    A connection is reused only if the backend server repeats the id of the request in
+    its responses. Without the id, a late second copy of a response could not be told
+    from the response to the next request on the connection.
+
     :param host: the IP address of the backend server.
     :param port: the port of the backend server.
     :param max_body_bytes: the largest response body that is accepted, in bytes.
@@ -122,10 +151,16 @@
         headers[REQUEST_ID_HEADER] = call.request_id
         headers[DEADLINE_HEADER] = str(int(remaining_s * 1000))
         base = http.client.HTTPConnection
+        connection.response_class = _Response
         base.request(connection, call.method, call.path, call.body or None, headers)
         response = base.getresponse(connection)
         body = self._read_body(sock, response, deadline)
-        if response.will_close:
+        if response.lines.line_cut:
+            raise http.client.IncompleteRead(body)
+        response_id = response.headers.get(REQUEST_ID_HEADER)
+        if response_id not in (call.request_id, None):
+            raise http.client.HTTPException("the response belongs to another request")
+        if response.will_close or response_id is None:
             connection.close()
         forwarded = tuple(
             calls.Header(name, value)
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -15,7 +15,16 @@
 from savoryhollow.wire import messages
 
 BODY = b"whole body"
-COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+ID_LINE = b"X-Request-Id: r.0\r\n"
+COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\n" + ID_LINE + b"Content-Length: 4\r\n\r\nbody"
+# One response of each framing; every prefix of one is an incomplete response.
+WHOLE_RESPONSES = {
+    "length": COMPLETE_RESPONSE,
+    "empty": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + ID_LINE + b"\r\n",
+    "no body": b"HTTP/1.1 204 No Content\r\n" + ID_LINE + b"\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nbo\r\n2;x=y\r\ndy\r\n0\r\nX-Trailer: 1\r\n\r\n",
+}
 
 
 class ScriptedServer:
@@ -27,6 +36,7 @@
 
     def __init__(self, *responses):
         self.requests = []
+        self.connections = 0
         self._responses = iter(responses)
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
@@ -35,6 +45,7 @@
     def _serve(self):
         while True:
             sock, _ = self._listener.accept()
+            self.connections += 1
             with sock:
                 while request := self._receive(sock):
                     self.requests.append(request)
@@ -102,6 +113,38 @@
     assert len(server.requests) == 1
 
 
+@pytest.mark.parametrize("whole", WHOLE_RESPONSES.values(), ids=WHOLE_RESPONSES.keys())
+def test_a_response_that_breaks_off_at_any_byte_is_incomplete(whole):
+    """The caller would get a success with an empty or short body, framed as whole."""
+    server = ScriptedServer(*(whole[:length] for length in range(1, len(whole))))
+    for _ in range(1, len(whole)):
+        with pytest.raises(errors.BackendError):
+            send_call(server.port)
+    assert send_call(ScriptedServer(whole).port).status < 300
+
+
+def test_a_late_copy_of_a_response_is_not_taken_for_the_next_one():
+    """The next caller would get an answer to a request that isn't its own."""
+    copy = COMPLETE_RESPONSE.replace(b"r.0", b"earlier")
+    server = ScriptedServer(COMPLETE_RESPONSE, copy + COMPLETE_RESPONSE)
+    backend_client = client.BackendClient("127.0.0.1", server.port, 100)
+    assert send_call(server.port, backend_client=backend_client).body == b"body"
+    with pytest.raises(errors.BackendError) as caught:
+        send_call(server.port, backend_client=backend_client)
+    assert caught.value.started
+    assert len(server.requests) == 2
+
+
+def test_a_connection_is_reused_only_if_the_server_repeats_the_request_id():
+    """Otherwise a late copy of a response couldn't be told from the next one."""
+    without_id = COMPLETE_RESPONSE.replace(ID_LINE, b"")
+    server = ScriptedServer(without_id, COMPLETE_RESPONSE, COMPLETE_RESPONSE)
+    backend_client = client.BackendClient("127.0.0.1", server.port, 100)
+    for _ in range(3):
+        assert send_call(server.port, backend_client=backend_client).body == b"body"
+    assert server.connections == 2
+
+
 def test_a_complete_chunked_response_is_returned():
     head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     server = ScriptedServer(head + b"2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n")
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -289,6 +289,46 @@
     run_with_timeout(main)
 
 
+WHOLE_RESPONSES = {
+    "length": response_bytes("r1"),
+    "empty": response_bytes("r1", b""),
+    "no body": b"HTTP/1.1 204 No Content\r\nX-Other: 1\r\n\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nok\r\n2;x=y\r\nay\r\n0\r\nX-Trailer: 1\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("whole", WHOLE_RESPONSES.values(), ids=WHOLE_RESPONSES.keys())
+def test_a_response_that_breaks_off_at_any_byte_is_incomplete(whole):
+    """The caller would get a success with an empty or short body, framed as whole."""
+
+    async def main():
+        lengths = range(1, len(whole))
+        async with backend(*([whole[:length]] for length in lengths), [whole]) as port:
+            for _ in lengths:
+                connection = await backends.open_connection("127.0.0.1", port)
+                with pytest.raises(errors.BackendError) as caught:
+                    await send_request(connection, "r1")
+                assert caught.value.started
+            connection = await backends.open_connection("127.0.0.1", port)
+            assert (await send_request(connection, "r1")).status < 300
+
+    run_with_timeout(main)
+
+
+def test_a_head_that_breaks_off_is_incomplete_if_its_body_ends_with_the_connection():
+    async def main():
+        head = b"HTTP/1.1 200 OK\r\nX-Other: 1\r\n\r\n"
+        lengths = range(1, len(head))
+        async with backend(*([head[:length]] for length in lengths)) as port:
+            for _ in lengths:
+                connection = await backends.open_connection("127.0.0.1", port)
+                with pytest.raises(errors.BackendError):
+                    await send_request(connection, "r1")
+
+    run_with_timeout(main)
+
+
 def test_a_body_without_length_ends_when_the_connection_closes():
     async def main():
         async with backend([b"HTTP/1.1 200 OK\r\n\r\nwhole"]) as port:
