Wait where the last reports show that every gate is full

Cause: a call was sent to up to three full gates without permission to wait, and after a refusal to three more, though their last reports already showed the answer.

Change: gates that bounced a call stay candidates by the load that they have just reported, and a call may wait at once where the best candidate's report shows no free slot. After the first refusal, and in another region from the start, a gate isn't asked whose report shows that the call would expire in its queue. The choice is a module of its own, proxy.gate_choice, without sockets or clocks.

Three tests of the router used a policy that ignored load; it now takes the cheapest endpoint, the first one of several, and the refusals in them carry the load of a full gate. Their assertions are unchanged.

--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -9,7 +9,7 @@
 from savoryhollow.budgets import retries
 from savoryhollow.membership import directory
 from savoryhollow.observe import events
-from savoryhollow.proxy import attempts, links, options, outcomes
+from savoryhollow.proxy import attempts, gate_choice, links, options, outcomes
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.recovery import retrying
 from savoryhollow.routing import evidence as evidence_module
@@ -20,12 +20,6 @@
 
 # Attempts after which a call is given up, not counting bounces.
 MAX_GATES_ASKED = 4
-# Bounces after which a call may be queued. A gate bounces a call that may not wait and
-# can't start at once. The first limit counts only the gates without a free slot. The
-# second counts all gates and is higher: most gates are not in a slow spell, so one of
-# these is soon found.
-MAX_FULL_BOUNCES = 3
-MAX_TOTAL_BOUNCES = 6
 
 
 class GiveUpReason(enum.Enum):
@@ -195,30 +189,12 @@
     def _choose(
         self, call, progress: attempts.Progress, now: float
     ) -> nearby.Decision | None:
-        """Return the endpoint of the next attempt, or None if there is none.
-
-        A call is first sent to gates of the own region without permission to wait.
-        Once the limit of bounces is reached or no such gate is left, it may be queued.
-        """
-        requirements = nearby.Requirements(now, call.objective, call.order)
-        if not progress.patient:
-            skipped = progress.tried | progress.bounced
-            candidates = self._candidates(call, skipped)
-            has_own_region = any(self._policy.is_in_own_region(c) for c in candidates)
-            if has_own_region and _may_try_more_gates(progress):
-                return self._policy.choose(candidates, requirements)
-            progress.patient = bool(progress.bounced)
+        """Return the endpoint of the next attempt, or None if there is none."""
+        requirements = nearby.Requirements(
+            now, call.objective, call.order, call.deadline
+        )
         candidates = self._candidates(call, progress.tried)
-        # In the own region, prefer the gates that bounced the call: they have just
-        # reported their load, and waits there are short.
-        preferred = [c for c in candidates if self._is_preferred(c, progress)]
-        return self._policy.choose(preferred or candidates, requirements)
-
-    def _is_preferred(
-        self, candidate: placement.Candidate, progress: attempts.Progress
-    ) -> bool:
-        is_remote = not self._policy.is_in_own_region(candidate)
-        return is_remote or candidate.endpoint.endpoint_id in progress.bounced
+        return gate_choice.choose(self._policy, candidates, requirements, progress)
 
     @property
     def _daemon_count(self) -> int:
@@ -346,10 +322,5 @@
             return error
 
 
-def _may_try_more_gates(progress: attempts.Progress) -> bool:
-    below_total = len(progress.bounced) < MAX_TOTAL_BOUNCES
-    return below_total and progress.full < MAX_FULL_BOUNCES
-
-
 def _untried(candidate: placement.Candidate, tried: set[str]) -> bool:
     return candidate.endpoint.endpoint_id not in tried
--- a/src/savoryhollow/routing/nearby.py
+++ b/src/savoryhollow/routing/nearby.py
@@ -19,7 +19,14 @@
 from savoryhollow.membership import directory
 from savoryhollow.routing import placement
 
-__all__ = ["Decision", "LocalityPolicy", "Requirements", "expected_cost_s"]
+__all__ = [
+    "Decision",
+    "LocalityPolicy",
+    "Requirements",
+    "can_start_at_once",
+    "can_start_in_time",
+    "expected_cost_s",
+]
 
 # Number of endpoints to compare from this zone and from other zones each.
 SAMPLE_SIZE = 3
@@ -58,11 +65,13 @@
     :param now: the current time.
     :param objective: time until which the answer has its full value.
     :param order: order of the request's rank, 0 for the most urgent.
+    :param deadline: time after which the answer is of no use.
     """
 
     now: float
     objective: float
     order: int
+    deadline: float = float("inf")
 
     @property
     def time_left_s(self) -> float:
@@ -121,6 +130,36 @@
     return max(report.service_us / 1e6, 0.05)
 
 
+def can_start_at_once(candidate: placement.Candidate, now: float) -> bool:
+    """Return False if a recent report shows that a request would have to wait.
+
+    :param candidate: the endpoint and its evidence.
+    :param now: the current time.
+    """
+    evidence = candidate.evidence
+    report = evidence.report
+    if report is None or now - evidence.reported_at > REPORT_FULL_WEIGHT_S:
+        return True
+    return report.busy < report.slots and not report.queued and not report.spell_us
+
+
+def can_start_in_time(
+    candidate: placement.Candidate, requirements: Requirements
+) -> bool:
+    """Return False if the last report shows that a request would expire in the queue.
+
+    :param candidate: the endpoint and its evidence.
+    :param requirements: the requirements of the request.
+    """
+    report = candidate.evidence.fresh_report(requirements.now)
+    if report is None:
+        return True
+    ahead = report.queued_before(requirements.order)
+    ends_needed = max(0, report.busy + 1 - report.slots)
+    wait_s = (ahead + ends_needed) * report.service_us / 1e6 / report.slots
+    return requirements.now + wait_s < requirements.deadline
+
+
 def _report_weight(age_s: float) -> float:
     if age_s <= REPORT_FULL_WEIGHT_S:
         return 1.0
--- /dev/null
+++ b/tests/test_gate_choice.py
@@ -0,0 +1,93 @@
+"""Tests of which gate gets a call next in a fleet that is full.
+
+A burst fills all gates of a region at once. Asking gate after gate whether it can start
+a call at once, or one that can't start it before its deadline, costs the caller time
+and carries the whole request between zones and regions for nothing.
+"""
+
+import random
+
+import test_nearby
+
+from savoryhollow.proxy import attempts, gate_choice
+from savoryhollow.routing import nearby
+
+NOW = test_nearby.NOW
+# One slot is free.
+SOME = {"busy": 6}
+FULL = {"busy": 7, "queued": 2}
+
+
+def choose(*candidates, progress=None, left_s=0.6, timeout_s=2.0, order=1):
+    """Return the id of the chosen endpoint and whether its gate may queue the call."""
+    progress = progress or attempts.Progress()
+    policy = nearby.LocalityPolicy(test_nearby.LOCATION, random.Random(3))
+    requirements = nearby.Requirements(NOW, NOW + left_s, order, NOW + timeout_s)
+    decision = gate_choice.choose(policy, candidates, requirements, progress)
+    chosen = decision and decision.candidate.endpoint.endpoint_id
+    return chosen, progress.patient
+
+
+def make(name, zone="east-a", **load):
+    return test_nearby.make_candidate(name, zone, **load)
+
+
+def test_a_gate_with_a_free_slot_may_not_queue_the_call():
+    assert choose(make("1", **SOME), make("2", **FULL)) == ("1", False)
+
+
+def test_a_gate_without_a_report_may_not_queue_the_call():
+    assert choose(make("1"), make("2", **FULL)) == ("1", False)
+
+
+def test_where_all_gates_are_full_the_call_waits_at_the_shortest_queue():
+    longer = FULL | {"queued": 9}
+    gates = [make("1", **longer), make("2", **FULL), make("3", **longer)]
+    assert choose(*gates) == ("2", True)
+
+
+def test_a_call_waits_at_a_gate_that_bounced_it_if_others_are_no_better():
+    progress = attempts.Progress(bounced={"1"}, full=1)
+    gates = [make("1", busy=7), make("2", "east-b", **FULL)]
+    assert choose(*gates, progress=progress) == ("1", True)
+
+
+def test_after_a_bounce_a_gate_with_a_free_slot_is_asked():
+    progress = attempts.Progress(bounced={"1"}, full=1)
+    gates = [make("1", **FULL), make("2", "east-b", busy=1)]
+    assert choose(*gates, progress=progress) == ("2", False)
+
+
+def test_a_call_waits_in_its_zone_for_the_end_of_a_spell_if_it_has_time_to_spare():
+    progress = attempts.Progress(bounced={"1"})
+    gates = [make("1", busy=2, spell_us=150_000), make("2", "east-b", busy=2)]
+    assert choose(*gates, progress=progress, left_s=2.0) == ("1", True)
+    progress = attempts.Progress(bounced={"1"})
+    assert choose(*gates, progress=progress, left_s=0.4) == ("2", False)
+
+
+def test_gates_that_would_let_the_call_expire_are_not_asked_after_a_refusal():
+    hopeless = {"busy": 7, "queued": 80}
+    progress = attempts.Progress(tried={"1"}, asked=1)
+    gates = [make("2", **hopeless), make("3", "east-b", **hopeless)]
+    assert choose(*gates, progress=progress)[0] is None
+    assert choose(*gates, make("4", "west-a", **hopeless), progress=progress)[0] is None
+    assert choose(*gates, make("4", "west-a", busy=1), progress=progress)[0] == "4"
+
+
+def test_the_first_gate_is_asked_though_its_report_shows_no_hope():
+    """Its queue may have emptied since, and only the gate itself knows."""
+    assert choose(make("1", busy=7, queued=80))[0] == "1"
+
+
+def test_another_region_without_hope_is_never_asked():
+    """Sixty milliseconds there and back, to be refused."""
+    gates = [make("1", busy=7, queued=20), make("2", "west-a", busy=7, queued=80)]
+    assert choose(*gates, left_s=0.5, order=0)[0] == "1"
+
+
+def test_waits_of_less_urgent_calls_are_not_counted():
+    gate = make("1", busy=7, queued=80, queued_by_order=(0, 2, 80))
+    progress = attempts.Progress(tried={"2"}, asked=1)
+    assert choose(gate, progress=progress, order=1)[0] == "1"
+    assert choose(gate, progress=progress, order=2)[0] is None
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -6,7 +6,7 @@
 from savoryhollow import calls, errors
 from savoryhollow.http1 import messages as http
 from savoryhollow.membership import directory, table
-from savoryhollow.proxy import backend_responses, options
+from savoryhollow.proxy import backend_responses, gate_choice, options
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.proxy import router as router_module
 from savoryhollow.routing import nearby, placement
@@ -210,14 +210,16 @@
 
 
 LOAD = messages.LoadReport(0, 0, 7, 100_000, False)
+FULL = dataclasses.replace(LOAD, busy=7, queued=1)
+IN_SPELL = dataclasses.replace(LOAD, spell_us=150_000)
 SERVED = messages.ServedMessage("", 200, (), b"ok", LOAD)
 FAILED = messages.ServedMessage("", 500, (), b"no", LOAD)
 LOST = errors.ChannelClosedError("the link was lost; check the peer")
 UNREACHABLE = errors.PeerUnreachableError("no link; check the peer")
 
 
-def make_refusal(reason):
-    return messages.NotRunMessage("", reason, 80, LOAD)
+def make_refusal(reason, load=LOAD):
+    return messages.NotRunMessage("", reason, 80, load)
 
 
 def make_router(*links, region="east"):
@@ -233,11 +235,17 @@
     location = placement.Location("", "east", "east-a")
 
     class FirstById(nearby.LocalityPolicy):
+        """Chooses the endpoint with the lowest cost, the first one of several."""
+
         def _best(self, pool, requirements):
             if not pool:
                 return None
-            first = min(pool, key=lambda one: one.endpoint.endpoint_id)
-            return nearby.Decision(first, 0.0, 0.0, len(pool))
+
+            def key(candidate):
+                cost_s = nearby.expected_cost_s(candidate, requirements.now)
+                return round(cost_s, 2), candidate.endpoint.endpoint_id
+
+            return nearby.Decision(min(pool, key=key), 0.0, 0.0, len(pool))
 
     router = router_module.Router(
         location,
@@ -347,24 +355,23 @@
 
 
 def test_few_gates_of_a_large_service_are_asked_before_a_request_waits():
-    busy = make_refusal(calls.NotRunReason.NOT_NOW)
+    busy = make_refusal(calls.NotRunReason.NOT_NOW, FULL)
     links = [Link(busy, SERVED) for _ in range(10)]
     assert isinstance(route_call(*links), calls.Served)
     asked = sum(len(link.calls) for link in links)
-    assert asked == router_module.MAX_FULL_BOUNCES + 1
+    assert asked == gate_choice.MAX_FULL_BOUNCES + 1
 
 
 def test_gates_in_slow_spells_are_tried_one_after_the_other():
     """A third of the instances are slow at a time, so another is soon found."""
-    load = dataclasses.replace(LOAD, spell_us=150_000)
-    slow = messages.NotRunMessage("", calls.NotRunReason.NOT_NOW, 80, load)
-    links = [Link(slow) for _ in range(router_module.MAX_FULL_BOUNCES + 2)]
+    slow = make_refusal(calls.NotRunReason.NOT_NOW, IN_SPELL)
+    links = [Link(slow) for _ in range(gate_choice.MAX_FULL_BOUNCES + 2)]
     assert isinstance(route_call(*links, Link(SERVED)), calls.Served)
     assert not any(one.patient for link in links for one in link.calls)
 
 
 def test_if_all_gates_are_in_slow_spells_a_request_waits_instead_of_failing():
-    slow = make_refusal(calls.NotRunReason.NOT_NOW)
+    slow = make_refusal(calls.NotRunReason.NOT_NOW, IN_SPELL)
     links = [Link(slow, SERVED), Link(slow, SERVED)]
     assert isinstance(route_call(*links), calls.Served)
     sent = [one.patient for link in links for one in link.calls]
