Refuse late requests that won't get a slot before their deadline

Cause: requests that miss their objective wait behind all that can meet it.

Change: the queue counts the starts of requests that meet their objective in the last second. Late requests that the remaining starts won't reach are refused at once, so that their callers can try another endpoint or come back while there is time.

--- a/src/savoryhollow/admission/estimates.py
+++ b/src/savoryhollow/admission/estimates.py
@@ -1,11 +1,12 @@
-"""Running estimates of the service time and the slot usage of a rank.
+"""Running estimates of service times, slot usage and the rate of events.
 
 Pure computation: the caller passes the current time.
 """
 
+import collections
 import math
 
-__all__ = ["Occupancy", "ServiceTime"]
+__all__ = ["Occupancy", "RecentCount", "ServiceTime"]
 
 # Weight of a new sample in the moving averages of service time and deviation.
 SAMPLE_WEIGHT = 0.1
@@ -72,3 +73,26 @@
         self._average = self.average(now)
         self._updated_at = max(self._updated_at, now)
         self.busy += difference
+
+
+class RecentCount:
+    """The number of events in a window of time that ends now.
+
+    :param window_s: the length of the window, in s.
+    """
+
+    __slots__ = ("_times", "_window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._times: collections.deque[float] = collections.deque()
+
+    def add(self, now: float) -> None:
+        """Record an event."""
+        self._times.append(now)
+
+    def rate_per_s(self, now: float) -> float:
+        """Return the number of events per second in the window."""
+        while self._times and self._times[0] <= now - self._window_s:
+            self._times.popleft()
+        return len(self._times) / self._window_s
--- a/src/savoryhollow/admission/objectives.py
+++ b/src/savoryhollow/admission/objectives.py
@@ -2,7 +2,8 @@
 
 The answer to a request is of full use until its objective and of little use after
 it. Requests that can still meet their objective are therefore served first, by rank;
-the others get the slots that remain. Nested requests, for which a running request
+the others get the slots that remain, and are refused once it shows that these won't
+suffice before their deadline. Nested requests, for which a running request
 waits, are served before other requests of their rank, because the request that waits
 holds a slot meanwhile.
 
@@ -48,6 +49,11 @@
 # Waiting requests per slot above which the least urgent request is refused.
 MAX_WAITING_PER_SLOT = 8
 
+# Time over which starts of requests that meet their objective are counted, in s.
+START_RATE_WINDOW_S = 1.0
+# Interval of the checks for late requests that won't get a slot, in s.
+STARVATION_CHECK_INTERVAL_S = 0.05
+
 
 class Refusal(enum.Enum):
     """The reason why a request was refused."""
@@ -85,9 +91,13 @@
 
     def sort_key(self, now: float) -> tuple[bool, int, bool, float]:
         """Return the key by which waiting requests are sorted, the next one first."""
-        late = now + self.expected_service_s > self.objective
+        late = self.is_late(now)
         return (late, self.order, not self.is_nested, self.objective)
 
+    def is_late(self, now: float) -> bool:
+        """Return True if the request would miss its objective if it started now."""
+        return now + self.expected_service_s > self.objective
+
 
 class ObjectiveQueue:
     """The slots of a backend server, and the requests that wait for them.
@@ -105,6 +115,8 @@
         self._slow_since: float | None = None
         self._last_slow_at = float("-inf")
         self._recent_paces: collections.deque[tuple[float, float]] = collections.deque()
+        self._starts_in_time = estimates.RecentCount(START_RATE_WINDOW_S)
+        self._starvation_check_due_at = float("-inf")
         self._service_times_by_rank: dict[str, estimates.ServiceTime] = {}
         self._overall_service_time = estimates.ServiceTime()
 
@@ -169,19 +181,50 @@
         next_entry = min(ready, key=lambda entry: entry.sort_key(now))
         self.waiting.remove(next_entry)
         self.busy += 1
+        if not next_entry.is_late(now):
+            self._starts_in_time.add(now)
         return next_entry
 
     def expire(self, now: float) -> list[QueueEntry]:
-        """Remove and return the requests that missed their latest start.
+        """Remove and return the requests that missed their latest start, or will.
 
         :param now: the current time.
         :returns: the removed requests with their ``refusal`` set.
         """
-        late = [entry for entry in self.waiting if entry.latest_start < now]
-        for entry in late:
+        expired = [entry for entry in self.waiting if entry.latest_start < now]
+        self._refuse_waiting(expired)
+        if now < self._starvation_check_due_at:
+            return expired
+        self._starvation_check_due_at = now + STARVATION_CHECK_INTERVAL_S
+        starved = self._find_starved(now)
+        self._refuse_waiting(starved)
+        return expired + starved
+
+    def _refuse_waiting(self, entries: list[QueueEntry]) -> None:
+        for entry in entries:
             self.waiting.remove(entry)
             entry.refusal = Refusal.TOO_LATE
-        return late
+
+    def _find_starved(self, now: float) -> list[QueueEntry]:
+        """Return the late requests that won't get one of the slots that remain.
+
+        Later requests that meet their objective overtake them, so what remains is
+        estimated by the recent rate of these.
+        """
+        if self.busy < self.slots:
+            return []
+        starts_per_s = self.slots / (self.service_s * max(1.0, self.pace))
+        remaining_per_s = starts_per_s - self._starts_in_time.rate_per_s(now)
+        starved: list[QueueEntry] = []
+        position = 1
+        for entry in sorted(self.waiting, key=lambda entry: entry.sort_key(now)):
+            if not entry.is_late(now):
+                continue
+            if position > remaining_per_s * (entry.latest_start - now):
+                starved.append(entry)
+            else:
+                position += 1
+        return starved
 
     def withdraw(self, entry: QueueEntry) -> bool:
         """Remove a waiting request; return True if it was waiting."""
--- a/tests/test_objectives.py
+++ b/tests/test_objectives.py
@@ -7,6 +7,8 @@
 from savoryhollow.admission import objectives
 
 CHECK_OBJECTIVE_S = 0.15
+# Time at which the overloaded queues of the tests are full.
+FULL_AT = 10.0
 
 
 def make_entry(rank="lookup", order=1, objective=0.6, deadline=2.0, is_nested=False):
@@ -77,6 +79,64 @@
     assert drain(queue) == [first]
 
 
+# ---------------------------------------------------------------------------
+#   Lasting overload: requests that meet their objective take every slot
+# ---------------------------------------------------------------------------
+
+
+def make_full_queue(timely_per_s):
+    """Return a queue that can start 20 requests a second, and whose slots are taken.
+
+    :param timely_per_s: the starts in the last second of requests that meet their
+        objective.
+    """
+    queue = make_queue(slots=2)
+    queue.busy = 2
+    for _ in range(100):
+        queue.busy += 1
+        queue.release("lookup", 0.1)
+    for step in range(1, timely_per_s + 1):
+        at = FULL_AT - 1 + step / timely_per_s
+        timely = make_entry(order=0, objective=at + 9, deadline=at + 9)
+        queue.waiting.append(timely)
+        queue.busy -= 1
+        assert queue.take(at) is timely
+    return queue
+
+
+def test_a_late_request_is_refused_at_once_if_timely_ones_take_every_slot():
+    """Otherwise its caller would wait until its deadline and be refused then."""
+    queue = make_full_queue(timely_per_s=20)
+    late = make_entry(objective=FULL_AT, deadline=FULL_AT + 2)
+    assert queue.offer(late, FULL_AT) == []
+    assert queue.expire(FULL_AT) == [late]
+    assert late.refusal is objectives.Refusal.TOO_LATE
+
+
+def test_late_requests_wait_for_the_slots_that_timely_ones_leave():
+    queue = make_full_queue(timely_per_s=15)
+    # Five starts per second are left, and a second remains to start.
+    late = [make_entry(objective=FULL_AT, deadline=FULL_AT + 1.085) for _ in range(8)]
+    for entry in late:
+        queue.offer(entry, FULL_AT)
+    assert len(queue.expire(FULL_AT)) == 3
+    assert len(queue.waiting) == 5
+
+
+def test_a_late_request_keeps_its_place_while_no_timely_one_overtakes_it():
+    queue = make_full_queue(timely_per_s=0)
+    late = make_entry(objective=FULL_AT, deadline=FULL_AT + 2)
+    queue.offer(late, FULL_AT)
+    assert queue.expire(FULL_AT) == []
+
+
+def test_a_request_that_can_meet_its_objective_is_never_starved():
+    queue = make_full_queue(timely_per_s=40)
+    timely = make_entry(order=2, objective=FULL_AT + 0.5, deadline=FULL_AT + 2)
+    queue.offer(timely, FULL_AT)
+    assert queue.expire(FULL_AT) == []
+
+
 # ---------------------------------------------------------------------------
 #   Slow spells: a quarter of the instances is slow, each for 0.3 s at a time
 # ---------------------------------------------------------------------------
