Pack the fields of messages that leave the availability zone

Change: calls to other zones, and the answers to them, are compressed with a preset dictionary (common words and the names of the platform's headers, passed in by the agent); bodies follow as they are. Version 6 of the inner protocol. The time left is no longer forwarded by the front, as the gate sends its own.

--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -32,7 +32,7 @@
 from savoryhollow.proxy import dialect as dialect_module
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.routing import nearby, placement
-from savoryhollow.wire import messages
+from savoryhollow.wire import messages, packing
 
 __all__ = ["Agent"]
 
@@ -73,6 +73,7 @@
         self.settings = settings
         self._dialect = dialect
         self._clock = asyncio.get_running_loop().time
+        self._dictionary = packing.make_dictionary(dialect.header_names)
         self.members = directory.Directory()
         self.replica = relay.Replica(on_items, self._record_source_contact)
         self.request_metrics = request_metrics.RequestMetrics()
@@ -100,6 +101,7 @@
             DEFAULT_MAX_BODY_BYTES + MESSAGE_MARGIN_BYTES,
             self.replica,
             self._clock,
+            self._dictionary,
         )
         self.readers = readers.Readers(
             settings,
@@ -125,6 +127,7 @@
             is_in_own_region = (
                 endpoint is not None and endpoint.region == settings.region
             )
+            is_in_own_zone = endpoint is not None and endpoint.zone == settings.zone
             hello = messages.HelloMessage(
                 messages.PROTOCOL_VERSION,
                 settings.instance,
@@ -137,6 +140,8 @@
                 self.router.record_report,
                 lambda message: self.replica.receive(message, self._clock(), host),
                 lambda: self.replica.as_of,
+                self._dictionary,
+                packs_requests=not is_in_own_zone,
             )
             return links.Link(endpoint_id, host, port, link_settings)
 
--- a/src/savoryhollow/proxy/dialect.py
+++ b/src/savoryhollow/proxy/dialect.py
@@ -32,3 +32,17 @@
     not_executed: str
     caller_service: str
     readiness_path: str
+
+    @property
+    def header_names(self) -> tuple[str, ...]:
+        """The names of all headers."""
+        return (
+            self.expected_endpoint,
+            self.endpoint_id,
+            self.load,
+            self.not_executed,
+            self.signature,
+            self.deadline_ms,
+            self.caller_service,
+            self.request_id,
+        )
--- a/src/savoryhollow/proxy/front.py
+++ b/src/savoryhollow/proxy/front.py
@@ -135,13 +135,15 @@
         return _RoutedCall(call, route)
 
     def _forwarded_headers(self, request: messages.Request) -> tuple[calls.Header, ...]:
-        name = self._dialect.caller_service
+        names = self._dialect
+        # The gate sends the time that is left then.
+        replaced = {names.caller_service.lower(), names.deadline_ms.lower()}
         kept = tuple(
             header
             for header in messages.end_to_end_headers(request.headers)
-            if header.name.lower() != name.lower()
+            if header.name.lower() not in replaced
         )
-        return (*kept, calls.Header(name, self.service))
+        return (*kept, calls.Header(names.caller_service, self.service))
 
     def _refuse(self, request_id: str, status: int, reason: str):
         version = self.table.version if self.table is not None else None
--- a/src/savoryhollow/proxy/inner.py
+++ b/src/savoryhollow/proxy/inner.py
@@ -10,7 +10,7 @@
 from savoryhollow.observe import events
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.proxy import relay, tasks
-from savoryhollow.wire import codec, messages
+from savoryhollow.wire import codec, messages, packing
 
 __all__ = ["InnerPort"]
 
@@ -22,6 +22,7 @@
     :param max_message_bytes: the size of the largest message accepted, in bytes.
     :param replica: the published items that followers of this daemon receive.
     :param clock: returns the current time, in s.
+    :param dictionary: the dictionary for packed messages.
     """
 
     def __init__(
@@ -30,11 +31,13 @@
         max_message_bytes: int,
         replica: relay.Replica,
         clock: collections.abc.Callable[[], float],
+        dictionary: bytes = b"",
     ):
         self._gate = gate
         self._max_message_bytes = max_message_bytes
         self._replica = replica
         self._clock = clock
+        self._dictionary = dictionary
         self._servers: list[websockets.asyncio.server.Server] = []
         self._listeners: set[websockets.asyncio.server.ServerConnection] = set()
         self._followers: set[websockets.asyncio.server.ServerConnection] = set()
@@ -85,7 +88,12 @@
         tasks_by_id: dict[str, asyncio.Task[None]] = {}
         try:
             async for data in connection:
-                self._handle_message(connection, codec.decode(data), tasks_by_id)
+                message = codec.decode(data, self._dictionary)
+                if isinstance(message, messages.CallMessage):
+                    is_packed = packing.is_packed(data)
+                    self._start_call(connection, message, tasks_by_id, is_packed)
+                else:
+                    self._handle_message(connection, message, tasks_by_id)
         except errors.WireError as error:
             events.emit(events.Event.PEER_LOST, detail=str(error))
         except websockets.ConnectionClosed:
@@ -97,13 +105,14 @@
             for task in tuple(tasks_by_id.values()):
                 task.cancel()
 
+    def _start_call(self, connection, call, tasks_by_id, is_packed: bool) -> None:
+        serving = self._serve_call(connection, call, is_packed)
+        task = asyncio.create_task(serving)
+        tasks_by_id[call.request_id] = task
+        task.add_done_callback(lambda _: tasks_by_id.pop(call.request_id, None))
+
     def _handle_message(self, connection, message, tasks_by_id) -> None:
-        if isinstance(message, messages.CallMessage):
-            request_id = message.request_id
-            task = asyncio.create_task(self._serve_call(connection, message))
-            tasks_by_id[request_id] = task
-            task.add_done_callback(lambda _: tasks_by_id.pop(request_id, None))
-        elif isinstance(message, messages.CancelMessage):
+        if isinstance(message, messages.CancelMessage):
             task = tasks_by_id.get(message.request_id)
             if task is not None:
                 task.cancel()
@@ -118,14 +127,21 @@
         elif isinstance(message, messages.SubscribeMessage):
             self._followers.add(connection)
             update = self._replica.message_since(message.known_revision, self._clock())
-            tasks.spawn(self._send(connection, update))
-
-    async def _serve_call(self, connection, call: messages.CallMessage) -> None:
-        await self._send(connection, await self._gate.serve(call))
-
-    async def _send(self, connection, message: messages.Message) -> None:
+            tasks.spawn(self._send(connection, codec.encode(update)))
+
+    async def _serve_call(
+        self, connection, call: messages.CallMessage, is_packed: bool
+    ) -> None:
+        answer = await self._gate.serve(call)
+        if is_packed:
+            data = codec.encode_packed(answer, self._dictionary)
+        else:
+            data = codec.encode(answer)
+        await self._send(connection, data)
+
+    async def _send(self, connection, data: bytes) -> None:
         try:
-            await connection.send(codec.encode(message))
+            await connection.send(data)
         except websockets.ConnectionClosed:
             # The peer detects the loss itself and decides what may have run.
             return
--- a/src/savoryhollow/proxy/links.py
+++ b/src/savoryhollow/proxy/links.py
@@ -58,6 +58,8 @@
     :param on_items: called with an update of the items published by the platform;
         returns False if earlier items are missing.
     :param known_revision: returns the revision up to which the replica is complete.
+    :param dictionary: the dictionary for packed messages.
+    :param packs_requests: whether requests are packed; their answers are then, too.
     """
 
     hello: messages.HelloMessage
@@ -65,6 +67,8 @@
     on_report: collections.abc.Callable[[str, messages.LoadReport], None]
     on_items: collections.abc.Callable[[messages.ItemsMessage], bool]
     known_revision: collections.abc.Callable[[], int]
+    dictionary: bytes = b""
+    packs_requests: bool = False
 
 
 class Link:
@@ -169,11 +173,16 @@
 
     async def _send(self, connection, message: messages.Message) -> None:
         try:
-            await connection.send(codec.encode(message))
+            await connection.send(self._encode(message))
         except websockets.ConnectionClosed as error:
             text = f"the link to {self.host} was lost; check the daemon there"
             raise errors.ChannelClosedError(text) from error
 
+    def _encode(self, message: messages.Message) -> bytes:
+        if self._settings.packs_requests and isinstance(message, messages.CallMessage):
+            return codec.encode_packed(message, self._settings.dictionary)
+        return codec.encode(message)
+
     async def _send_best_effort(self, connection, message: messages.Message) -> None:
         """Send a message that needn't be repeated if the link is lost.
 
@@ -237,7 +246,7 @@
             self._mark_lost("the connection was closed")
 
     def _handle_message(self, data) -> None:
-        message = codec.decode(data)
+        message = codec.decode(data, self._settings.dictionary)
         if isinstance(message, messages.ReportMessage):
             self._settings.on_report(self.endpoint_id, message.load)
         elif isinstance(message, messages.ItemsMessage):
--- a/src/savoryhollow/wire/codec.py
+++ b/src/savoryhollow/wire/codec.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from savoryhollow import errors
-from savoryhollow.wire import messages
+from savoryhollow.wire import messages, packing
 
-__all__ = ["decode", "encode"]
+__all__ = ["decode", "encode", "encode_packed"]
 
 # The number that identifies each message class on the wire. The number of a removed
 # class must not be reused.
@@ -46,13 +46,40 @@
     return cbor2.dumps([KINDS_BY_CLASS[type(message)], *_to_array(message)])
 
 
-def decode(data: bytes) -> messages.Message:
+def encode_packed(message: messages.Message, dictionary: bytes) -> bytes:
+    """Encode a message and compress everything but its body.
+
+    :param message: a message defined in :mod:`savoryhollow.wire.messages`.
+    :param dictionary: the dictionary that the other end has too.
+    """
+    body = b""
+    if isinstance(message, messages.MessageWithBody):
+        body = message.body
+        message = dataclasses.replace(message, body=b"")
+    return packing.pack(encode(message), body, dictionary)
+
+
+def decode(data: bytes, dictionary: bytes = b"") -> messages.Message:
     """Decode and validate a message.
 
-    :param data: one CBOR item.
+    :param data: one CBOR item, or a packed message.
+    :param dictionary: the dictionary for packed messages.
     :returns: the message.
     :raises errors.MalformedMessageError: if the data isn't a valid message.
     """
+    if not packing.is_packed(data):
+        return _decode_array(data)
+    fields, body = packing.unpack(data, dictionary)
+    message = _decode_array(fields)
+    if isinstance(message, messages.MessageWithBody):
+        return dataclasses.replace(message, body=body)
+    if body:
+        text = f"{type(message).__name__} has no body; run matching versions"
+        raise errors.MalformedMessageError(text)
+    return message
+
+
+def _decode_array(data: bytes) -> messages.Message:
     try:
         kind, *values = cbor2.loads(data)
         cls = CLASSES_BY_KIND[kind]
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -24,6 +24,7 @@
     "ItemsMessage",
     "LoadReport",
     "Message",
+    "MessageWithBody",
     "NotRunMessage",
     "PROTOCOL_VERSION",
     "PublishedItem",
@@ -41,7 +42,7 @@
 Count = Annotated[int, msgspec.Meta(ge=0)]
 
 # Must be incremented when a message changes in a way that older peers can't decode.
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -331,6 +332,8 @@
     deltas: tuple[RevisionDelta, ...]
 
 
+MessageWithBody: typing.TypeAlias = CallMessage | ServedMessage
+
 Message: typing.TypeAlias = (
     HelloMessage
     | CallMessage
--- a/tests/test_random_input.py
+++ b/tests/test_random_input.py
@@ -18,11 +18,12 @@
 from savoryhollow.platform import documents
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.proxy import inner, relay
-from savoryhollow.wire import codec
+from savoryhollow.wire import codec, packing
 from savoryhollow.wire import messages as wire
 
 INPUTS = int(os.environ.get("RANDOM_INPUTS", "1500"))
 SEED = int(os.environ.get("RANDOM_SEED", "1"))
+DICTIONARY = packing.make_dictionary(("X-Attempt-Id",))
 MAX_MUTATIONS = 4
 MAX_PIECES = 4
 # Bytes that mean something to one of the parsers.
@@ -181,10 +182,15 @@
     assert run_and_collect_failures(main) == []
 
 
+def encoded_messages():
+    plain = [codec.encode(message) for message in MESSAGES]
+    return plain + [codec.encode_packed(message, DICTIONARY) for message in MESSAGES]
+
+
 def test_a_damaged_message_of_a_peer_is_a_typed_error():
-    for _, _, data in damaged_inputs([codec.encode(message) for message in MESSAGES]):
+    for _, _, data in damaged_inputs(encoded_messages()):
         try:
-            codec.decode(data)
+            codec.decode(data, DICTIONARY)
         except errors.MalformedMessageError:
             continue
 
@@ -209,7 +215,7 @@
             yield data
 
     async def send(self, data):
-        codec.decode(data)
+        codec.decode(data, DICTIONARY)
 
 
 class Runner:
@@ -231,8 +237,8 @@
         gate = gate_module.Gate(Runner(), loop.time, lambda service: None)
         gate.leave()
         replica = relay.Replica(lambda items: None, lambda in_contact: None)
-        port = inner.InnerPort(gate, 1 << 20, replica, loop.time)
-        samples = [codec.encode(message) for message in MESSAGES]
+        port = inner.InnerPort(gate, 1 << 20, replica, loop.time, DICTIONARY)
+        samples = encoded_messages()
         for _, rng, data in damaged_inputs(samples):
             received = [*rng.sample(samples, 2), data, rng.choice(samples)]
             await port._serve_peer(Peer(received))
