Estimate waits by the first service time after a restart

Cause: the average service time of a gate began at 10 ms and moved by a tenth with each sample. After a restart, and at four requests a second for several seconds, waits looked short: work was let in that ended late, and peers took a gate that had just started for the fastest of all.

Change: the first sample is the average; until then the load report says 0, unknown, and peers assume the usual 0.2 s.

--- a/src/savoryhollow/admission/objectives.py
+++ b/src/savoryhollow/admission/objectives.py
@@ -118,12 +118,13 @@
         self._starts_in_time = estimates.RecentCount(START_RATE_WINDOW_S)
         self._starvation_check_due_at = float("-inf")
         self._service_times_by_rank: dict[str, estimates.ServiceTime] = {}
-        self._overall_service_time = estimates.ServiceTime()
+        self._overall_service_time: estimates.ServiceTime | None = None
 
     @property
     def service_s(self) -> float:
-        """The average service time of requests of all ranks, in s."""
-        return self._overall_service_time.mean_s
+        """The average service time of requests of all ranks, in s; 0 if unknown."""
+        overall = self._overall_service_time
+        return 0.0 if overall is None else overall.mean_s
 
     def estimate_service_s(self, entry: QueueEntry, now: float) -> float:
         """Return the expected service time of a request, in s."""
@@ -211,19 +212,19 @@
         Later requests that meet their objective overtake them, so what remains is
         estimated by the recent rate of these.
         """
-        if self.busy < self.slots:
+        if self.busy < self.slots or not self.service_s:
             return []
         starts_per_s = self.slots / (self.service_s * max(1.0, self.pace))
         remaining_per_s = starts_per_s - self._starts_in_time.rate_per_s(now)
         starved: list[QueueEntry] = []
-        position = 1
+        ahead = 0
         for entry in sorted(self.waiting, key=lambda entry: entry.sort_key(now)):
             if not entry.is_late(now):
                 continue
-            if position > remaining_per_s * (entry.latest_start - now):
+            if ahead >= remaining_per_s * (entry.latest_start - now):
                 starved.append(entry)
             else:
-                position += 1
+                ahead += 1
         return starved
 
     def withdraw(self, entry: QueueEntry) -> bool:
@@ -246,6 +247,8 @@
         if rank not in self._service_times_by_rank:
             self._service_times_by_rank[rank] = estimates.ServiceTime(held_s)
         self._service_times_by_rank[rank].add(held_s)
+        if self._overall_service_time is None:
+            self._overall_service_time = estimates.ServiceTime(held_s)
         self._overall_service_time.add(held_s)
 
     def resize(self, slots: int, nested_slots: int) -> None:
--- a/src/savoryhollow/routing/nearby.py
+++ b/src/savoryhollow/routing/nearby.py
@@ -42,8 +42,10 @@
 MIN_CROSS_REGION_TIME_S = 0.2
 # Order of the least urgent rank that may go to another region to meet its objective.
 MAX_CROSS_REGION_ORDER = 1
-# Service time assumed without a load report, in s.
+# Service time assumed if no load report tells it, in s.
 DEFAULT_SERVICE_S = 0.2
+# Minimum service time that is assumed, in s.
+MIN_SERVICE_S = 0.05
 # Number of slots assumed without a load report.
 DEFAULT_SLOTS = 7
 # Cost of an endpoint with all slots in use and an empty queue, as a share of its
@@ -125,9 +127,9 @@
 def service_time_s(candidate: placement.Candidate, now: float) -> float:
     """Return the service time of an endpoint at its usual pace, in s."""
     report = candidate.evidence.fresh_report(now)
-    if report is None:
+    if report is None or not report.service_us:
         return DEFAULT_SERVICE_S
-    return max(report.service_us / 1e6, 0.05)
+    return max(report.service_us / 1e6, MIN_SERVICE_S)
 
 
 def can_start_at_once(candidate: placement.Candidate, now: float) -> bool:
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -52,7 +52,8 @@
     :param busy: the number of slots in use.
     :param queued: the number of queued requests.
     :param slots: the number of slots.
-    :param service_us: the smoothed time for which a request holds a slot, in µs.
+    :param service_us: the smoothed time for which a request holds a slot, in µs; 0 if
+        it isn't known yet.
     :param leaving: whether the gate accepts no new requests.
     :param queued_by_order: for each order of rank, the number of requests queued at
         this or a more urgent order; the most urgent order comes first.
--- a/tests/test_nearby.py
+++ b/tests/test_nearby.py
@@ -103,6 +103,12 @@
     assert choose(leaving) == "1"
 
 
+def test_a_gate_that_has_just_started_does_not_look_faster_than_others():
+    """Its first report can't tell a service time, so it would draw all the work."""
+    started = make_candidate("1", busy=5, service_us=0)
+    assert choose(started, make_candidate("2", busy=4)) == "2"
+
+
 def test_a_warm_endpoint_is_preferred_to_a_cold_one():
     cold = make_candidate("1", busy=0, cold_until=NOW + 2)
     assert choose(cold, make_candidate("2", busy=1)) == "2"
