Leave requests that can't be repeated at a peer that is only silent

Cause: a daemon that was paused or cut off for a second had all its open requests given up: the link was closed, so that the peer ended the runs once it woke, and callers were told 502 for bookings that were being worked on.

Change: after a ping without answer the connection is replaced. Idempotent requests are cancelled there and sent elsewhere as before. Others stay on the former connection until their deadline; an answer that still comes is delivered. The connection is closed after the last of them.

--- a/src/savoryhollow/proxy/links.py
+++ b/src/savoryhollow/proxy/links.py
@@ -2,6 +2,11 @@
 
 A link carries many requests concurrently. It is opened once and kept open, and each
 answer includes a load report of the gate at the other end.
+
+A peer that is silent for long may have stopped for good, or only be paused or cut off
+for a while. Idempotent requests are then given up, so that they can be sent elsewhere,
+and a new connection is opened. Other requests stay on the former connection until their
+deadline: they can't be sent again, and their answers may still come.
 """
 
 import asyncio
@@ -71,6 +76,18 @@
     packs_requests: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _OpenRequest:
+    """A request that waits for its answer.
+
+    :param connection: the connection on which it was sent.
+    """
+
+    message: messages.CallMessage
+    connection: _Connection
+    answer: asyncio.Future[gate.Answer]
+
+
 class Link:
     """The connection to the daemon of one endpoint, reopened whenever it is lost.
 
@@ -91,8 +108,10 @@
         self.failing = False
         self.subscribed = False
         self._settings = settings
-        self._answers_by_id: dict[str, asyncio.Future[gate.Answer]] = {}
+        self._open_by_id: dict[str, _OpenRequest] = {}
         self._connection: _Connection | None = None
+        # Former connections to a silent peer, each with the task that reads from it.
+        self._tasks_by_former: dict[_Connection, asyncio.Task[None]] = {}
         self._ping_task: asyncio.Task[None] | None = None
         self._opened = asyncio.Event()
         self._task = asyncio.create_task(self._run())
@@ -100,7 +119,7 @@
     @property
     def has_open_requests(self) -> bool:
         """Whether any request is still waiting for its answer."""
-        return bool(self._answers_by_id)
+        return bool(self._open_by_id)
 
     async def call(self, message: messages.CallMessage) -> gate.Answer:
         """Send a request and wait for its answer.
@@ -115,7 +134,8 @@
             text = f"no link to {self.host}; check the daemon there"
             raise errors.PeerUnreachableError(text)
         answer: asyncio.Future[gate.Answer] = asyncio.get_running_loop().create_future()
-        self._answers_by_id[message.request_id] = answer
+        request = _OpenRequest(message, connection, answer)
+        self._open_by_id[message.request_id] = request
         try:
             await self._send(connection, message)
             return await answer
@@ -124,7 +144,8 @@
             tasks.spawn(self._send_best_effort(connection, cancel))
             raise
         finally:
-            self._answers_by_id.pop(message.request_id, None)
+            self._open_by_id.pop(message.request_id, None)
+            self._close_former_if_unused(connection)
 
     def subscribe(self) -> None:
         """Subscribe to the items that the platform publishes."""
@@ -148,7 +169,7 @@
         return self._connection
 
     def check_liveness(self, now: float) -> None:
-        """Ping a peer that has been silent, and drop the connection if it fails.
+        """Ping a peer that has been silent, and replace the connection if it fails.
 
         Call this often while requests are open.
 
@@ -158,19 +179,44 @@
         if connection is None or now - connection.last_data_at < PING_AFTER_SILENCE_S:
             return
         if self._ping_task is None or self._ping_task.done():
-            self._ping_task = asyncio.create_task(self._ping_or_abort(connection))
+            self._ping_task = asyncio.create_task(self._ping_or_replace(connection))
 
-    async def _ping_or_abort(self, connection) -> None:
+    async def _ping_or_replace(self, connection) -> None:
         last_data_at = connection.last_data_at
         try:
             async with asyncio.timeout(PING_TIMEOUT_S):
                 await (await connection.ping())
         except TimeoutError:
             if connection.last_data_at == last_data_at:
-                connection.transport.abort()
+                self._replace(connection)
         except websockets.ConnectionClosed:
             connection.transport.abort()
 
+    def _replace(self, connection: _Connection) -> None:
+        """Open a new connection in place of one whose peer is silent."""
+        if connection is not self._connection:
+            return
+        text = f"{self.host} is silent; check the daemon there"
+        for request in self._open_requests(connection):
+            if request.message.idempotent:
+                cancel = messages.CancelMessage(request.message.request_id)
+                tasks.spawn(self._send_best_effort(connection, cancel))
+                _fail(request, errors.ChannelSilentError(text))
+        self._tasks_by_former[connection] = self._task
+        self._lose_connection("the peer is silent")
+        self._task = asyncio.create_task(self._run())
+        self._close_former_if_unused(connection)
+
+    def _close_former_if_unused(self, connection) -> None:
+        is_former = connection in self._tasks_by_former
+        waiting = [r for r in self._open_requests(connection) if not r.answer.done()]
+        if is_former and not waiting:
+            connection.transport.abort()
+
+    def _open_requests(self, connection) -> list[_OpenRequest]:
+        requests = self._open_by_id.values()
+        return [one for one in requests if one.connection is connection]
+
     async def _send(self, connection, message: messages.Message) -> None:
         try:
             await connection.send(self._encode(message))
@@ -197,7 +243,10 @@
     def close(self) -> None:
         """Close the link permanently."""
         self._task.cancel()
-        self._fail_open_requests("the endpoint was removed")
+        for task in self._tasks_by_former.values():
+            task.cancel()
+        for request in self._open_by_id.values():
+            _fail(request, self._closed_error("the endpoint was removed"))
 
     # -----------------------------------------------------------------------
     #   Connection
@@ -206,13 +255,18 @@
     async def _run(self) -> None:
         backoff_s = MIN_BACKOFF_S
         while True:
+            detail = "the connection was closed"
             try:
                 await self._connect()
                 backoff_s = MIN_BACKOFF_S
             except (OSError, TimeoutError, websockets.WebSocketException) as error:
-                self._mark_lost(repr(error))
+                detail = repr(error)
             except errors.WireError as error:
-                self._mark_lost(str(error))
+                detail = str(error)
+            if self._task is not asyncio.current_task():
+                # Another task has opened a new connection in place of this one.
+                return
+            self._mark_lost(detail)
             await asyncio.sleep(backoff_s)
             backoff_s = min(MAX_BACKOFF_S, 2 * backoff_s)
 
@@ -240,10 +294,17 @@
             async for data in connection:
                 self._handle_message(data)
         finally:
-            self._connection = None
-            self._opened.clear()
             connection.transport.abort()
-            self._mark_lost("the connection was closed")
+            self._tasks_by_former.pop(connection, None)
+            if connection is self._connection:
+                self._lose_connection("the connection was closed")
+            for request in self._open_requests(connection):
+                _fail(request, self._closed_error("the connection was closed"))
+
+    def _lose_connection(self, detail: str) -> None:
+        self._connection = None
+        self._opened.clear()
+        self._mark_lost(detail)
 
     def _handle_message(self, data) -> None:
         message = codec.decode(data, self._settings.dictionary)
@@ -253,9 +314,9 @@
             if not self._settings.on_items(message) and self._connection is not None:
                 tasks.spawn(self._send_subscription(self._connection))
         elif isinstance(message, gate.Answer):
-            answer = self._answers_by_id.get(message.request_id)
-            if answer is not None and not answer.done():
-                answer.set_result(message)
+            request = self._open_by_id.get(message.request_id)
+            if request is not None and not request.answer.done():
+                request.answer.set_result(message)
 
     # -----------------------------------------------------------------------
     #   Connection state
@@ -275,14 +336,16 @@
                 endpoint_id=self.endpoint_id,
                 host=self.host,
                 detail=detail,
-                open_requests=len(self._answers_by_id),
+                open_requests=len(self._open_by_id),
             )
         self.connected = False
         self.failing = True
-        self._fail_open_requests(detail)
 
-    def _fail_open_requests(self, detail: str) -> None:
-        for answer in self._answers_by_id.values():
-            if not answer.done():
-                text = f"link to {self.host} lost: {detail}; check the daemon there"
-                answer.set_exception(errors.ChannelClosedError(text))
+    def _closed_error(self, detail: str) -> errors.ChannelClosedError:
+        text = f"link to {self.host} lost: {detail}; check the daemon there"
+        return errors.ChannelClosedError(text)
+
+
+def _fail(request: _OpenRequest, error: errors.WireError) -> None:
+    if not request.answer.done():
+        request.answer.set_exception(error)
