Ask only gates whose last report shows a free slot

Cause: with the change before, a gate that had bounced a call for a slow spell or a full slot stayed a candidate by its cost, so calls waited in the own zone where another gate could have started them.

Change: gates that bounced a call are asked again only once no other is left. Others are asked unless their report of the last 0.6 s shows no free slot; if none shows one, the call may wait at the best.

--- a/src/savoryhollow/proxy/gate_choice.py
+++ b/src/savoryhollow/proxy/gate_choice.py
@@ -1,9 +1,9 @@
 """Choose the gate that a call is sent to next, and whether it may be queued there.
 
 A call is first sent to gates of the own region that may start it at once. Such a gate
-bounces a call that would have to wait, so that the router can try another one. A call
-that will wait anyway is better off at the gate where the wait is shortest, which the
-last reports show, than after several bounces.
+bounces a call that would have to wait, so that the router can try another one. Gates
+whose last report shows no free slot aren't asked; if none shows one, the call is queued
+where the expected cost is lowest.
 
 This module does no I/O; the caller passes the candidates and the current time.
 """
@@ -37,12 +37,17 @@
         the chosen gate may queue the call.
     """
     useful = [c for c in candidates if _is_useful(policy, c, requirements, progress)]
-    if not progress.patient and _may_bounce(policy, useful, progress):
-        decision = policy.choose(useful, requirements)
-        if decision is not None:
-            progress.patient = _would_wait(decision.candidate, requirements, progress)
-        return decision
-    progress.patient = progress.patient or bool(progress.bounced)
+    if not progress.patient and _may_bounce_again(progress):
+        remaining = [
+            c
+            for c in useful
+            if not policy.is_in_own_region(c) or _may_start(c, requirements, progress)
+        ]
+        if any(policy.is_in_own_region(c) for c in remaining):
+            return policy.choose(remaining, requirements)
+    progress.patient = True
+    if not progress.bounced:
+        return policy.choose(useful, requirements)
     # In the own region, prefer the gates that bounced the call: they have just
     # reported their load, and waits there are short.
     preferred = [
@@ -60,17 +65,15 @@
     return is_first or nearby.can_start_in_time(candidate, requirements)
 
 
-def _may_bounce(policy, candidates, progress) -> bool:
-    """Return True if a gate of the own region may be asked that hasn't bounced yet."""
-    if len(progress.bounced) >= MAX_TOTAL_BOUNCES or progress.full >= MAX_FULL_BOUNCES:
-        return False
-    return any(
-        policy.is_in_own_region(c) and not _has_bounced(c, progress) for c in candidates
+def _may_bounce_again(progress) -> bool:
+    return (
+        len(progress.bounced) < MAX_TOTAL_BOUNCES and progress.full < MAX_FULL_BOUNCES
     )
 
 
-def _would_wait(candidate, requirements, progress) -> bool:
-    return _has_bounced(candidate, progress) or not nearby.can_start_at_once(
+def _may_start(candidate, requirements, progress) -> bool:
+    """Return True if a gate hasn't bounced the call and may start it at once."""
+    return not _has_bounced(candidate, progress) and nearby.can_start_at_once(
         candidate, requirements.now
     )
 
--- a/src/savoryhollow/routing/nearby.py
+++ b/src/savoryhollow/routing/nearby.py
@@ -133,7 +133,9 @@
 
 
 def can_start_at_once(candidate: placement.Candidate, now: float) -> bool:
-    """Return False if a recent report shows that a request would have to wait.
+    """Return False if a recent report shows that no slot is free.
+
+    A slow spell may have ended since, so it doesn't count.
 
     :param candidate: the endpoint and its evidence.
     :param now: the current time.
@@ -142,7 +144,7 @@
     report = evidence.report
     if report is None or now - evidence.reported_at > REPORT_FULL_WEIGHT_S:
         return True
-    return report.busy < report.slots and not report.queued and not report.spell_us
+    return report.busy < report.slots and not report.queued
 
 
 def can_start_in_time(
