Report the load less often to other zones where many daemons listen

Cause: each gate sends at most 60 load reports a second over all its listeners, half of them to other availability zones, though few requests go there.

Change: the daemon that listens says how often: each 0.1 s in its zone, 0.3 s elsewhere. All intervals shrink or grow together to the limit, but none below 0.1 s, so that little changes where few listen. Changes of pace are still sent at once to all of a small region.

--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -124,15 +124,19 @@
 
         def open_link(endpoint_id: str, host: str, port: int) -> links.Link:
             endpoint = self.members.endpoints_by_host.get(host)
-            is_in_own_region = (
-                endpoint is not None and endpoint.region == settings.region
-            )
             is_in_own_zone = endpoint is not None and endpoint.zone == settings.zone
+            report_interval_s = 0.0
+            if endpoint is not None and endpoint.region == settings.region:
+                report_interval_s = (
+                    load_reports.OWN_ZONE_INTERVAL_S
+                    if is_in_own_zone
+                    else load_reports.OTHER_ZONE_INTERVAL_S
+                )
             hello = messages.HelloMessage(
                 messages.PROTOCOL_VERSION,
                 settings.instance,
                 incarnation,
-                wants_reports=is_in_own_region,
+                report_interval_ms=round(1000 * report_interval_s),
             )
             link_settings = links.LinkSettings(
                 hello,
--- a/src/savoryhollow/proxy/inner.py
+++ b/src/savoryhollow/proxy/inner.py
@@ -12,7 +12,10 @@
 from savoryhollow.proxy import relay, tasks
 from savoryhollow.wire import codec, messages, packing
 
-__all__ = ["InnerPort"]
+__all__ = ["InnerPort", "Listener"]
+
+# The connection of a daemon that asked for load reports.
+Listener = websockets.asyncio.server.ServerConnection
 
 
 class InnerPort:
@@ -39,7 +42,7 @@
         self._clock = clock
         self._dictionary = dictionary
         self._servers: list[websockets.asyncio.server.Server] = []
-        self._listeners: set[websockets.asyncio.server.ServerConnection] = set()
+        self._report_intervals_by_listener: dict[Listener, float] = {}
         self._followers: set[websockets.asyncio.server.ServerConnection] = set()
 
     async def start(self, host: str, port: int) -> None:
@@ -57,18 +60,25 @@
         )
 
     @property
-    def listeners(self) -> int:
-        """The number of daemons that asked for load reports."""
-        return len(self._listeners)
+    def report_intervals_by_listener(
+        self,
+    ) -> collections.abc.Mapping[Listener, float]:
+        """The shortest interval between load reports that each daemon asked for, in s.
+
+        Daemons that didn't ask for reports are left out.
+        """
+        return self._report_intervals_by_listener
 
-    def broadcast_load(self, report: messages.LoadReport) -> None:
-        """Send a load report to every daemon that asked for reports.
+    def send_load(
+        self,
+        report: messages.LoadReport,
+        listeners: collections.abc.Iterable[Listener],
+    ) -> None:
+        """Send a load report.
 
         The reports are only buffered, so a slow connection doesn't delay the others.
         """
-        if self._listeners:
-            data = codec.encode(messages.ReportMessage(report))
-            websockets.broadcast(self._listeners, data)
+        websockets.broadcast(listeners, codec.encode(messages.ReportMessage(report)))
 
     def broadcast_items(self, message: messages.ItemsMessage) -> None:
         """Send published items to every follower of this daemon."""
@@ -100,7 +110,7 @@
             # The open requests of the peer are cancelled below.
             pass
         finally:
-            self._listeners.discard(connection)
+            self._report_intervals_by_listener.pop(connection, None)
             self._followers.discard(connection)
             for task in tuple(tasks_by_id.values()):
                 task.cancel()
@@ -122,8 +132,9 @@
                     f"peer speaks version {message.version}; upgrade the older daemon"
                 )
                 raise errors.VersionMismatchError(text)
-            if message.wants_reports:
-                self._listeners.add(connection)
+            if message.report_interval_ms:
+                interval_s = message.report_interval_ms / 1000
+                self._report_intervals_by_listener[connection] = interval_s
         elif isinstance(message, messages.SubscribeMessage):
             self._followers.add(connection)
             update = self._replica.message_since(message.known_revision, self._clock())
--- a/src/savoryhollow/wire/messages.py
+++ b/src/savoryhollow/wire/messages.py
@@ -92,14 +92,15 @@
     :param incarnation: identifies one run of the sending process.
     :param connection: the number of the connection among those opened by this
         incarnation; 0 in the message of the accepting end.
-    :param wants_reports: whether the accepting end should send load reports.
+    :param report_interval_ms: the shortest interval at which the accepting end should
+        send load reports, in ms; 0 for no reports.
     """
 
     version: int
     endpoint_id: str
     incarnation: str
     connection: int = 0
-    wants_reports: bool = False
+    report_interval_ms: Count = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_random_input.py
+++ b/tests/test_random_input.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import dataclasses
 import os
 import random
 
@@ -59,7 +60,7 @@
 )
 LOAD = wire.LoadReport(1, 2, 7, 100_000, False, (1, 2))
 MESSAGES = (
-    wire.HelloMessage(wire.PROTOCOL_VERSION, "e1", "i1", wants_reports=True),
+    wire.HelloMessage(wire.PROTOCOL_VERSION, "e1", "i1", report_interval_ms=100),
     wire.CallMessage(
         *("r1", "s", "r", "c", 1000, False, 0, 1, "GET", "/", (), b"x"), patient=False
     ),
@@ -242,6 +243,27 @@
         for _, rng, data in damaged_inputs(samples):
             received = [*rng.sample(samples, 2), data, rng.choice(samples)]
             await port._serve_peer(Peer(received))
-        assert port.listeners == 0
+        assert not port.report_intervals_by_listener
 
     assert run_and_collect_failures(main) == []
+
+
+def test_an_unexpected_error_of_the_gate_is_an_unknown_outcome():
+    """Its peer would wait until the deadline for an answer that never comes."""
+    sent = []
+
+    class Collecting(Peer):
+        async def send(self, data):
+            sent.append(codec.decode(data, DICTIONARY))
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        gate = gate_module.Gate(Runner(), loop.time, lambda service: None)
+        replica = relay.Replica(lambda items: None, lambda in_contact: None)
+        port = inner.InnerPort(gate, 1 << 20, replica, loop.time, DICTIONARY)
+        call = dataclasses.replace(MESSAGES[1], remaining_us=5_000_000, patient=True)
+        await port._serve_call(Collecting([]), call, is_packed=True)
+
+    assert run_and_collect_failures(main) == []
+    assert isinstance(sent[0], wire.UnknownMessage)
+    assert sent[0].request_id == "r1"
