Answer a peer whose request met an unexpected error; trust stale lists for 3.5 s

A gate that failed unexpectedly left its peer without an answer until the deadline; the outcome is now reported as unknown, and the error logged.

A daemon that isn't listed after its start used answers of the platform that may be outdated for up to 5 s. Its requests count four seconds after the start, so a server that had left could still be used by then; it now reads exactly after 3.5 s.

--- a/src/savoryhollow/proxy/inner.py
+++ b/src/savoryhollow/proxy/inner.py
@@ -143,13 +143,22 @@
     async def _serve_call(
         self, connection, call: messages.CallMessage, is_packed: bool
     ) -> None:
-        answer = await self._gate.serve(call)
+        answer = await self._answer(call)
         if is_packed:
             data = codec.encode_packed(answer, self._dictionary)
         else:
             data = codec.encode(answer)
         await self._send(connection, data)
 
+    async def _answer(self, call: messages.CallMessage) -> gate_module.Answer:
+        try:
+            return await self._gate.serve(call)
+        except Exception as error:
+            # Without an answer, the peer would wait until the deadline.
+            tasks.log_failure("serve_call", error)
+            detail = "internal error of the gate; check its log"
+            return messages.UnknownMessage(call.request_id, detail, self._gate.report())
+
     async def _send(self, connection, data: bytes) -> None:
         try:
             await connection.send(data)
--- a/src/savoryhollow/proxy/readers.py
+++ b/src/savoryhollow/proxy/readers.py
@@ -15,8 +15,10 @@
 # Interval at which a daemon checks whom it follows, in s. It is a part of the time in
 # which readers are replaced.
 FOLLOW_INTERVAL_S = 0.1
-# Time after the start within which the local endpoint should be listed, in s.
-LISTING_WAIT_S = 5.0
+# Time after the start within which the local endpoint should be listed, in s. Until
+# then the platform's answers may be outdated. Four seconds after its start, a daemon is
+# expected to know which endpoints have left.
+LISTING_WAIT_S = 3.5
 
 
 class Readers:
--- a/src/savoryhollow/proxy/tasks.py
+++ b/src/savoryhollow/proxy/tasks.py
@@ -5,7 +5,7 @@
 
 from savoryhollow.observe import events
 
-__all__ = ["spawn", "spawn_supervised"]
+__all__ = ["log_failure", "spawn", "spawn_supervised"]
 
 # The event loop keeps only weak references; these keep tasks from being collected.
 _tasks: set[asyncio.Task] = set()
@@ -28,7 +28,7 @@
             try:
                 await work()
             except Exception as error:
-                _log_failure(name, error)
+                log_failure(name, error)
             await asyncio.sleep(RESTART_DELAY_S)
 
     return spawn(run())
@@ -42,7 +42,11 @@
     return task
 
 
-def _log_failure(name: str, error: Exception) -> None:
+def log_failure(name: str, error: Exception) -> None:
+    """Log an unexpected exception and where it was raised.
+
+    :param name: the name of the task in log lines.
+    """
     # The exception's message isn't logged, as it may contain data of a caller.
     traceback = error.__traceback__
     while traceback is not None and traceback.tb_next is not None:
