Close the connections of stand-in servers in tests

Cause: stand-in servers left stream writers open when their event loop ended. Once they are collected, they raise, and the report of that calls ast.parse, which this version of Python doesn't survive within another ast.parse, as the one in test_events.

Change: the servers close their writers.

Negative intervals of reports are rejected; the strategy for encoded messages no longer draws them, and a test holds that they are.

--- a/tests/test_backend_runner.py
+++ b/tests/test_backend_runner.py
@@ -1,6 +1,7 @@
 """Tests of a backend server's address that changes while a request is in progress."""
 
 import asyncio
+import contextlib
 
 from savoryhollow.http1 import backends
 from savoryhollow.platform import headers
@@ -11,11 +12,12 @@
     """Start a backend server that tells its id once it may answer."""
 
     async def serve(reader, writer):
-        while await reader.readline():
-            await reader.readuntil(b"\r\n\r\n")
-            await may_answer.wait()
-            head = f"HTTP/1.1 200 OK\r\nX-Instance-Id: {name}\r\nContent-Length: 0"
-            writer.write(head.encode() + b"\r\n\r\n")
+        with contextlib.closing(writer):
+            while await reader.readline():
+                await reader.readuntil(b"\r\n\r\n")
+                await may_answer.wait()
+                head = f"HTTP/1.1 200 OK\r\nX-Instance-Id: {name}\r\nContent-Length: 0"
+                writer.write(head.encode() + b"\r\n\r\n")
 
     return await asyncio.start_server(serve, "127.0.0.1", 0)
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -19,6 +19,10 @@
         service_us=COUNTS,
     ),
 )
+strategies.register_type_strategy(
+    messages.HelloMessage,
+    strategies.builds(messages.HelloMessage, report_interval_ms=COUNTS),
+)
 strategies.register_type_strategy(
     messages.ItemsMessage,
     strategies.builds(
@@ -62,6 +66,12 @@
         codec.decode(data)
 
 
+def test_a_negative_report_interval_is_rejected():
+    hello = messages.HelloMessage(1, "e", "i", report_interval_ms=-1)
+    with pytest.raises(errors.MalformedMessageError):
+        codec.decode(codec.encode(hello))
+
+
 @pytest.mark.parametrize("load", [(-1, 0, 9, 0), (0, 0, 0, 0), (0, 0, 9, -1)])
 def test_an_impossible_load_is_rejected(load):
     report = messages.LoadReport(*load, leaving=False)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -108,12 +109,15 @@
     async def main():
         body = b"x" * (backends.MAX_RESPONSE_BYTES // 2)
 
-        async def serve(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(OK + f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
-            await writer.drain()
+        async def serve_once(reader, writer):
+            with contextlib.closing(writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(
+                    OK + f"Content-Length: {len(body)}\r\n\r\n".encode() + body
+                )
+                await writer.drain()
 
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(serve_once, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         connection = await backends.open_connection("127.0.0.1", port)
         response = await connection.exchange(REQUEST, ID, "r1")
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -208,15 +208,15 @@
     scripts = iter(scripts)
 
     async def serve(reader, writer):
-        for step in next(scripts):
-            if step is None:
-                writer.transport.abort()
-                return
-            if step != b"unasked":
-                await reader.readuntil(b"\r\n\r\n")
-            writer.write(step)
-        await asyncio.sleep(0.01)
-        writer.close()
+        with contextlib.closing(writer):
+            for step in next(scripts):
+                if step is None:
+                    writer.transport.abort()
+                    return
+                if step != b"unasked":
+                    await reader.readuntil(b"\r\n\r\n")
+                writer.write(step)
+            await asyncio.sleep(0.01)
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     try:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -56,6 +56,8 @@
                 head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Content-Length: 2"])
                 writer.write(head.encode() + b"\r\n\r\nok")
         except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
             writer.close()
 
 
@@ -75,6 +77,8 @@
                 for request_id in pending:
                     self.statuses_by_id[request_id] = await read_status(reader)
         except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
             writer.close()
 
     def _send(self, writer, method):
--- a/tests/test_proxy_events.py
+++ b/tests/test_proxy_events.py
@@ -1,6 +1,7 @@
 """Decisions about requests, endpoints and backend servers are logged as events."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -99,9 +100,10 @@
         server.close()
 
     async def serve_connection(reader, writer):
-        while await reader.readline():
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-            await reader.readuntil(b"\r\n\r\n")
+        with contextlib.closing(writer):
+            while await reader.readline():
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                await reader.readuntil(b"\r\n\r\n")
 
     test_proxy.run_with_timeout(main)
     assert len(fields_of(emitted, events.Event.BACKEND_LOST)) == 1
--- a/tests/test_response_proof.py
+++ b/tests/test_response_proof.py
@@ -106,12 +106,17 @@
 
     async def serve(self, reader, writer):
         self.connections += 1
+        try:
+            await self.answer_all(reader, writer)
+        except asyncio.IncompleteReadError:
+            return
+        finally:
+            writer.close()
+
+    async def answer_all(self, reader, writer):
         is_first = True
         while True:
-            try:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-            except asyncio.IncompleteReadError:
-                return
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
             request_id = head.partition(f"{ID}: ")[2].partition("\r\n")[0]
             if not request_id:
                 writer.write(render(200, f"{DIALECT.endpoint_id}: e1"))
@@ -201,9 +206,8 @@
     """On a used one, its response can't be told from a copy of an earlier response."""
 
     class Rejecting(RepeatingServer):
-        async def serve(self, reader, writer):
-            self.connections += 1
-            while not reader.at_eof():
+        async def answer_all(self, reader, writer):
+            while True:
                 await reader.readuntil(b"\r\n\r\n")
                 writer.write(render(400, MARK))
 
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import urllib.parse
 
@@ -229,13 +230,14 @@
 
     async def main():
         async def serve(reader, writer):
-            await reader.readuntil(b"\r\n\r\n")
-            length = f"Content-Length: {len(body)}\r\n\r\n"
-            writer.write(b"HTTP/1.1 200 OK\r\n" + length.encode())
-            for byte in body:
-                await asyncio.sleep(0.03)
-                writer.write(bytes([byte]))
-            await reader.read()
+            with contextlib.closing(writer):
+                await reader.readuntil(b"\r\n\r\n")
+                length = f"Content-Length: {len(body)}\r\n\r\n"
+                writer.write(b"HTTP/1.1 200 OK\r\n" + length.encode())
+                for byte in body:
+                    await asyncio.sleep(0.03)
+                    writer.write(bytes([byte]))
+                await reader.read()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         readers = FakeReaders()
