Inject repeated refusals and heads that break off into the soak

The stand-in for backend servers repeated whole responses only, and cut them in their bodies. "answers duplicated" now also repeats a refusal without an id while the request runs, and half of "answers cut short" break off in the head; its own refusals carry the id, as the platform's do.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -148,11 +148,15 @@
         )
         if refusal_status is not None:
             extra_headers = {
+                DIALECT.request_id: request_id,
                 DIALECT.endpoint_id: self.endpoint_id,
                 DIALECT.not_executed: "1",
             }
             writer.write(self._render(refusal_status, extra_headers))
             return
+        if self.behavior.corruption == "duplicate" and self._corrupts():
+            # A second copy of a refused probe, while the request runs.
+            writer.write(self._render(503, {DIALECT.not_executed: "1"}))
         await self._execute(message, request_id, writer)
 
     def _refusal_status(self, message: http.Message, request_id: str) -> int | None:
@@ -220,7 +224,7 @@
             DIALECT.signature: records.sign(run.request_id, status, body),
         }
         response = self._render(status, response_headers, body)
-        if self._rng.random() >= self.behavior.corrupt_share:
+        if not self._corrupts():
             writer.write(response)
             return
         corruption = self.behavior.corruption
@@ -230,10 +234,16 @@
         if corruption == "garble":
             writer.write(b"\x00\x01 no answer \r\n\r\n" + response)
         elif corruption == "truncate":
-            writer.write(response[: len(response) * 2 // 3])
+            # Half of them break off within the head.
+            head_length = response.index(b"\r\n\r\n") + 4
+            limit = self._rng.choice((head_length, len(response)))
+            writer.write(response[: self._rng.randrange(1, limit)])
             await writer.drain()
         writer.transport.abort() if corruption == "drop" else writer.close()
 
+    def _corrupts(self) -> bool:
+        return self._rng.random() < self.behavior.corrupt_share
+
     def _render(
         self, status: int, extra_headers: dict[str, str], body: bytes = b""
     ) -> bytes:
