--- a/src/savoryhollow/proxy/dialect.py
+++ b/src/savoryhollow/proxy/dialect.py
@@ -35,7 +35,10 @@
 
     @property
     def header_names(self) -> tuple[str, ...]:
-        """The names of all headers."""
+        """The names of all headers.
+
+        Both ends of a link must know the same ones, as packed messages refer to them.
+        """
         return (
             self.expected_endpoint,
             self.endpoint_id,
