Believe no response without the id of its request, on new connections neither

Traced in its logs: the first attempt ended with "rejected" after 3 ms at east-a-1, where it ran; the second was served by east-b-2. The backend server had sent a refusal with the mark and without an id, as the first bytes on a new connection, and run the request.

Cause: the first response on a connection was believed without an id, as nothing earlier can be repeated there.

Change: a response belongs to the request only if it carries the same id. Tests whose servers sent no id now send it; what they check is unchanged.

--- a/src/savoryhollow/http1/backends.py
+++ b/src/savoryhollow/http1/backends.py
@@ -33,21 +33,15 @@
 CAUTIOUS_PERIOD_S = 30.0
 
 
-def is_response_to(
-    request_id: str | None, response_id: str | None, *, is_first_request: bool
-) -> bool:
+def is_response_to(request_id: str | None, response_id: str | None) -> bool:
     """Return True if a response certainly belongs to the request in progress.
 
-    Servers repeat the id of a request in its response. Without an id, only the place
-    of a response on the connection tells: the first one belongs to the first request,
-    but a later one may be a second copy of a response to an earlier request.
+    Servers repeat the id of a request in its response. A response without an id may be
+    a second copy of one to an earlier request, such as a probe.
 
     :param request_id: the id of the request in progress; None if it has none.
     :param response_id: the id in the response; None if it has none.
-    :param is_first_request: whether the request is the first on its connection.
     """
-    if response_id is None and request_id is not None:
-        return is_first_request
     return response_id == request_id
 
 
@@ -62,7 +56,6 @@
         self._on_data: collections.abc.Callable[[], None] = lambda: None
         self._id_header: str | None = None
         self._request_id: str | None = None
-        self._requests_sent = 0
         self.usable = True
         self.idle_until = float("inf")
         self.idle_since = self._loop.time()
@@ -99,7 +92,6 @@
         self._response_future = self._loop.create_future()
         self._id_header = id_header
         self._request_id = request_id
-        self._requests_sent += 1
         self._on_data = on_data
         self._response_started = False
         self._received_bytes = 0
@@ -245,10 +237,7 @@
         if self._id_header is None:
             return True
         response_id = messages.find_header(headers, self._id_header)
-        is_first_request = self._requests_sent == 1
-        return is_response_to(
-            self._request_id, response_id, is_first_request=is_first_request
-        )
+        return is_response_to(self._request_id, response_id)
 
     def _update_idle_until(self, headers: tuple[calls.Header, ...]) -> None:
         timeout_s = DEFAULT_IDLE_TIMEOUT_S
--- a/src/savoryhollow/proxy/backend_runner.py
+++ b/src/savoryhollow/proxy/backend_runner.py
@@ -84,9 +84,12 @@
         :param deadline: the time after which its response is no longer useful.
         """
         pool = self.pool
-        request_id = messages.find_header(call.headers, self._dialect.request_id)
+        request_id = (
+            messages.find_header(call.headers, self._dialect.request_id) or None
+        )
         try:
-            # Without an id, only the first response on a connection can be matched.
+            # Without an id, only the first response on a new connection certainly
+            # belongs to the request.
             connection, reused = await self._acquire(pool, reuse=bool(request_id))
         except errors.BackendError as error:
             return backend_responses.BackendResult(
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -14,7 +14,7 @@
 
 ID = "X-Id"
 REQUEST = f"GET / HTTP/1.1\r\nHost: x\r\n{ID}: r1\r\n\r\n".encode()
-OK = b"HTTP/1.1 200 OK\r\n"
+OK = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 # A server that isn't stopped sends this much in the tests.
 SENT_BYTES = 64 << 20
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -292,8 +292,8 @@
 WHOLE_RESPONSES = {
     "length": response_bytes("r1"),
     "empty": response_bytes("r1", b""),
-    "no body": b"HTTP/1.1 204 No Content\r\nX-Other: 1\r\n\r\n",
-    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "no body": b"HTTP/1.1 204 No Content\r\nX-Id: r1\r\n\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"2\r\nok\r\n2;x=y\r\nay\r\n0\r\nX-Trailer: 1\r\n\r\n",
 }
 
@@ -318,7 +318,7 @@
 
 def test_a_head_that_breaks_off_is_incomplete_if_its_body_ends_with_the_connection():
     async def main():
-        head = b"HTTP/1.1 200 OK\r\nX-Other: 1\r\n\r\n"
+        head = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\n"
         lengths = range(1, len(head))
         async with backend(*([head[:length]] for length in lengths)) as port:
             for _ in lengths:
@@ -331,7 +331,7 @@
 
 def test_a_body_without_length_ends_when_the_connection_closes():
     async def main():
-        async with backend([b"HTTP/1.1 200 OK\r\n\r\nwhole"]) as port:
+        async with backend([b"HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nwhole"]) as port:
             connection = await backends.open_connection("127.0.0.1", port)
             assert (await send_request(connection, "r1")).body == b"whole"
             assert not connection.usable
--- a/tests/test_response_proof.py
+++ b/tests/test_response_proof.py
@@ -38,29 +38,20 @@
 
 
 @pytest.mark.parametrize(
-    ("request_id", "response_id", "is_first_request", "expected"),
+    ("request_id", "response_id", "expected"),
     [
-        ("r1", "r1", True, True),
-        ("r1", "r1", False, True),
-        ("r1", "r0", True, False),
-        ("r1", "r0", False, False),
-        # Nothing earlier can be repeated on a new connection.
-        ("r1", None, True, True),
-        ("r1", None, False, False),
+        ("r1", "r1", True),
+        ("r1", "r0", False),
+        ("r1", None, False),
         # A probe has no id, and neither has its response.
-        (None, None, True, True),
-        (None, None, False, True),
-        (None, "r0", True, False),
-        (None, "r0", False, False),
+        (None, None, True),
+        (None, "r0", False),
     ],
 )
 def test_only_a_response_that_certainly_belongs_to_the_request_is_accepted(
-    request_id, response_id, is_first_request, expected
+    request_id, response_id, expected
 ):
-    found = backends.is_response_to(
-        request_id, response_id, is_first_request=is_first_request
-    )
-    assert found is expected
+    assert backends.is_response_to(request_id, response_id) is expected
 
 
 # ---------------------------------------------------------------------------
@@ -70,7 +61,7 @@
 
 @pytest.mark.parametrize(
     ("status", "marked", "signed"),
-    itertools.product(STATUSES, (True, False), (True, False)),
+    list(itertools.product(STATUSES, (True, False), (True, False))),
 )
 def test_not_run_needs_the_mark_and_success_the_signature(status, marked, signed):
     lines = [MARK] * marked + [SIGNATURE] * signed
@@ -97,10 +88,15 @@
 
 
 class RepeatingServer:
-    """Answers a probe and a request; sends a copy before the second response."""
+    """Answers probes and requests; sends a copy before the response to a request.
+
+    :param copy: the copy.
+    :param on_new: whether it is also sent before the first response on a connection.
+    """
 
-    def __init__(self, copy):
+    def __init__(self, copy, on_new=False):
         self.copy = copy
+        self.on_new = on_new
         self.run_ids = []
         self.connections = 0
 
@@ -123,7 +119,7 @@
                 is_first = False
                 continue
             self.run_ids.append(request_id)
-            if not is_first:
+            if self.on_new or not is_first:
                 writer.write(self.copy)
             is_first = False
             await asyncio.sleep(0.02)
@@ -146,7 +142,7 @@
     )
 
 
-def run_against(server, *calls_to_run):
+def run_against(server, *calls_to_run, probe=True):
     """Probe the server, run the calls one after the other, and return the results."""
 
     async def main():
@@ -154,7 +150,8 @@
             listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
             pool = backends.Pool(*listener.sockets[0].getsockname())
             runner = backend_runner.BackendRunner(DIALECT, pool)
-            await runner.probe()
+            if probe:
+                await runner.probe()
             deadline = asyncio.get_running_loop().time() + 5
             results = [await runner.run(call, deadline) for call in calls_to_run]
             listener.close()
@@ -186,6 +183,15 @@
     assert found == "r1"
 
 
+@pytest.mark.parametrize("copy", COPIES.values(), ids=COPIES.keys())
+def test_a_response_without_the_id_is_not_believed_on_a_new_connection(copy):
+    """A server that repeats a refusal may do so on any connection (soak seed 7103)."""
+    server = RepeatingServer(copy, on_new=True)
+    (result,) = run_against(server, make_call(), probe=False)
+    assert server.run_ids == ["r1"]
+    assert result.response is not None and result.response.status == 200
+
+
 @pytest.mark.parametrize("status", [408, 429, 503])
 def test_a_refusal_without_proof_is_an_unknown_outcome(status):
     """The backend server sends its own refusal, but has begun to run the request."""
