--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -96,13 +96,7 @@
         self._caller_server.on_rejected = self.front.record_rejected
         self._readiness_server = callers.Server(self._answer_readiness)
         self._metrics_server = callers.Server(self._answer_metrics)
-        self._inner_port = inner.InnerPort(
-            self.gate,
-            DEFAULT_MAX_BODY_BYTES + MESSAGE_MARGIN_BYTES,
-            self.replica,
-            self._clock,
-            self._dictionary,
-        )
+        self._inner_port = self._build_inner_port()
         self.readers = readers.Readers(
             settings,
             self.members,
@@ -117,6 +111,15 @@
         self.runner.on_load = self._reporter.handle_load
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _build_inner_port(self) -> inner.InnerPort:
+        return inner.InnerPort(
+            self.gate,
+            DEFAULT_MAX_BODY_BYTES + MESSAGE_MARGIN_BYTES,
+            self.replica,
+            self._clock,
+            self._dictionary,
+        )
+
     def _build_router(self) -> router.Router:
         settings = self.settings
         incarnation = secrets.token_hex(INCARNATION_BYTES)
