--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,156 @@
+"""Tests of a planned stop of a daemon while hundreds of connections carry requests.
+
+Callers go on using their connections until they are closed. A request that the daemon
+has accepted must get its whole response, wherever it is when the stop begins: queued
+behind another on its connection, waiting at the gate, or running.
+"""
+
+import asyncio
+import dataclasses
+
+import pytest
+import test_agent
+
+from savoryhollow.configuration import routes
+from savoryhollow.membership import directory, table
+from savoryhollow.platform import headers
+from savoryhollow.settings import models
+
+HOST = "127.0.0.1"
+DIALECT = headers.DIALECT
+CONNECTIONS = 200
+# Requests that each caller sends at once.
+PIPELINED = 2
+SLOTS = 40
+RUN_S = 0.02
+ROUTE = routes.Route(
+    name="r-work",
+    host="work.example",
+    prefix="/work/",
+    idempotent=False,
+    order=1,
+    objective_s=1.0,
+    timeout_s=2.0,
+    max_attempts=1,
+    shares=(routes.ServiceShare("dispatch", 1),),
+)
+
+
+class Backend:
+    """Runs each request for a while and remembers its id."""
+
+    def __init__(self):
+        self.run_ids = []
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                request_id = head.partition(f"{DIALECT.request_id}: ")[2].split("\r")[0]
+                lines = [f"{DIALECT.endpoint_id}: e1"]
+                if request_id:
+                    self.run_ids.append(request_id)
+                    await asyncio.sleep(RUN_S)
+                    lines += [f"{DIALECT.request_id}: {request_id}"]
+                    lines += [f"{DIALECT.signature}: s"]
+                head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Content-Length: 2"])
+                writer.write(head.encode() + b"\r\n\r\nok")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class Caller:
+    """Sends requests on one connection until the daemon closes it."""
+
+    def __init__(self, name):
+        self.name = name
+        self.sent_ids = []
+        self.statuses_by_id = {}
+
+    async def run(self, port, method):
+        reader, writer = await asyncio.open_connection(HOST, port)
+        try:
+            while True:
+                pending = [self._send(writer, method) for _ in range(PIPELINED)]
+                for request_id in pending:
+                    self.statuses_by_id[request_id] = await read_status(reader)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def _send(self, writer, method):
+        request_id = f"{self.name}-{len(self.sent_ids)}"
+        self.sent_ids.append(request_id)
+        lines = [
+            f"{method} /work/x HTTP/1.1",
+            "Host: work.example",
+            f"{DIALECT.request_id}: {request_id}",
+            "Content-Length: 0",
+        ]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        return request_id
+
+
+async def read_status(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    length = int(head.lower().partition("content-length: ")[2].split("\r")[0])
+    await reader.readexactly(length)
+    return int(head.split()[1])
+
+
+async def start_daemon(backend_port):
+    agent = test_agent.make_agent(backend=models.Target(HOST, backend_port))
+    await agent.start()
+    agent.members.put(
+        directory.KnownEndpoint(
+            *("e1", "dispatch", "east", "east-a", HOST, 9),
+            table.EndpointState.LIVE,
+            SLOTS,
+        )
+    )
+    route_table = dataclasses.replace(test_agent.ROUTE_TABLE, routes=(ROUTE,))
+    assert agent.configure(route_table)
+    return agent
+
+
+async def stop_under_load(method):
+    """Stop a daemon while callers use it; return the callers, the backend, the result.
+
+    One more connection is opened in each step of the stop.
+    """
+    backend = Backend()
+    listener = await asyncio.start_server(backend.serve, HOST, 0)
+    agent = await start_daemon(listener.sockets[0].getsockname()[1])
+    port = test_agent.port_of(agent._caller_server)
+    callers = [Caller(str(number)) for number in range(CONNECTIONS)]
+    tasks = [asyncio.create_task(caller.run(port, method)) for caller in callers]
+    while len(backend.run_ids) < CONNECTIONS:
+        await asyncio.sleep(RUN_S)
+    stopping = asyncio.create_task(agent.stop())
+    while not stopping.done():
+        caller = Caller(f"late{len(callers)}")
+        callers.append(caller)
+        tasks.append(asyncio.create_task(caller.run(port, method)))
+        await asyncio.sleep(RUN_S)
+    await asyncio.wait(tasks)
+    listener.close()
+    return callers, backend, await stopping
+
+
+@pytest.mark.parametrize("method", ["POST", "GET"])
+def test_no_accepted_request_is_cut_off_by_a_planned_stop(method):
+    async def main():
+        callers, backend, drained = await stop_under_load(method)
+        assert drained
+        run_ids = set(backend.run_ids)
+        assert len(run_ids) == len(backend.run_ids)
+        statuses_by_id = {}
+        for caller in callers:
+            statuses_by_id |= caller.statuses_by_id
+        served_ids = {one for one, status in statuses_by_id.items() if status == 200}
+        # A request that ran is answered, and a refused or unanswered one never ran.
+        assert run_ids == served_ids
+        refusals = {status for status in statuses_by_id.values() if status != 200}
+        assert refusals <= {503}
+        assert len(served_ids) > CONNECTIONS
+
+    test_agent.run_with_timeout(main)
