--- a/tests/test_gate_choice.py
+++ b/tests/test_gate_choice.py
@@ -8,7 +8,9 @@
 import random
 
 import test_nearby
+import test_proxy
 
+from savoryhollow import calls
 from savoryhollow.proxy import attempts, gate_choice
 from savoryhollow.routing import nearby
 
@@ -94,3 +96,37 @@
     progress = attempts.Progress(tried={"2"}, asked=1)
     assert choose(gate, progress=progress, order=1)[0] == "1"
     assert choose(gate, progress=progress, order=2)[0] is None
+
+
+# ---------------------------------------------------------------------------
+#   Calls that the router sends from gate to gate
+# ---------------------------------------------------------------------------
+
+
+def test_few_gates_of_a_large_service_are_asked_before_a_request_waits():
+    busy = test_proxy.make_refusal(calls.NotRunReason.NOT_NOW, test_proxy.FULL)
+    links = [test_proxy.Link(busy, test_proxy.SERVED) for _ in range(10)]
+    assert isinstance(test_proxy.route_call(*links), calls.Served)
+    asked = sum(len(link.calls) for link in links)
+    assert asked == gate_choice.MAX_FULL_BOUNCES + 1
+
+
+def test_gates_in_slow_spells_are_tried_one_after_the_other():
+    """A third of the instances are slow at a time, so another is soon found."""
+    slow = test_proxy.make_refusal(calls.NotRunReason.NOT_NOW, test_proxy.IN_SPELL)
+    links = [test_proxy.Link(slow) for _ in range(gate_choice.MAX_FULL_BOUNCES + 2)]
+    assert isinstance(
+        test_proxy.route_call(*links, test_proxy.Link(test_proxy.SERVED)), calls.Served
+    )
+    assert not any(one.patient for link in links for one in link.calls)
+
+
+def test_if_all_gates_are_in_slow_spells_a_request_waits_instead_of_failing():
+    slow = test_proxy.make_refusal(calls.NotRunReason.NOT_NOW, test_proxy.IN_SPELL)
+    links = [
+        test_proxy.Link(slow, test_proxy.SERVED),
+        test_proxy.Link(slow, test_proxy.SERVED),
+    ]
+    assert isinstance(test_proxy.route_call(*links), calls.Served)
+    sent = [one.patient for link in links for one in link.calls]
+    assert sorted(sent) == [False, False, True]
