Take odd entries and documents for what they are: unusable

Cause: deep nesting raises RecursionError in msgspec, which is no MsgspecError. It left Adapter.apply_items before the other items of the update, which the replica had already recorded as known, so they were never delivered again. In links.Link._run the same exception ended the task.

Why this works: one list of what a decoder may raise, used by each of them; an entry is usable only with a valid address, id and number of slots; each item is applied on its own, so no exception in one costs another.

The soak's other writer leaves such entries too, now.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,25 @@
 RECOVERY_MARGIN_S = 0.5
 RESTART_TIME_S = 2.0
 
+
+def _entry(**changes: object) -> dict[str, object]:
+    entry = {"service": layout.SERVICES[0], "address": "10.0.0.9:80"}
+    entry |= {"zone": next(iter(layout.REGIONS_BY_ZONE)), "state": "ready", "slots": 4}
+    return entry | changes
+
+
+# Entries of another writer that name no endpoint to use.
+INVALID_ENTRIES = (
+    b"\xff\xfe",
+    b'{"note":' + 4000 * b"[",
+    {"service": 7},
+    _entry(address="10.0.0.9:70000"),
+    _entry(address="nowhere:80"),
+    _entry(slots=10**30),
+    {"state": "odd"},
+    b"",
+)
+
 Action = collections.abc.Callable[
     ["deployments.Deployment", "deployments.Instance", "Step"],
     collections.abc.Awaitable[None],
@@ -236,8 +255,7 @@
 
 
 async def _add_invalid_entry(deployment, instance, step) -> None:
-    values = (b"\xff\xfe", {"service": 7}, {"state": "odd"}, b"")
-    value = values[int(step.strength * len(values))]
+    value = INVALID_ENTRIES[int(step.strength * len(INVALID_ENTRIES))]
     deployment.store.put(f"{deployments.ENTRY_PREFIX}foreign-{step.at}", value)
 
 
--- a/src/savoryhollow/cli/main.py
+++ b/src/savoryhollow/cli/main.py
@@ -10,7 +10,7 @@
 
 import typer
 
-from savoryhollow import errors
+from savoryhollow import decoding, errors
 from savoryhollow.cli import (
     configuration_text,
     operator_client,
@@ -139,7 +139,7 @@
     """Print the state of a daemon as JSON."""
     try:
         state = json.loads(operator_client.fetch(operator, "/dump"))
-    except (errors.OperatorPortError, ValueError) as error:
+    except (errors.OperatorPortError, *decoding.FAILURES) as error:
         _fail(str(error), UNREACHABLE)
     typer.echo(json.dumps(state, indent=2))
 
--- a/src/savoryhollow/cli/operator_client.py
+++ b/src/savoryhollow/cli/operator_client.py
@@ -9,7 +9,7 @@
 import msgspec
 import urllib3
 
-from savoryhollow import errors
+from savoryhollow import decoding, errors
 from savoryhollow.observe import placements, requests, runs
 from savoryhollow.wire import messages
 
@@ -95,7 +95,7 @@
             return msgspec.json.decode(fetch(operator, path), type=model)
         except errors.OperatorPortError as error:
             return error
-        except msgspec.MsgspecError as error:
+        except decoding.FAILURES as error:
             message = f"{operator}: {error}; use the daemon's version of savoryhollow"
             return errors.OperatorPortError(message)
 
--- a/src/savoryhollow/membership/table.py
+++ b/src/savoryhollow/membership/table.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from savoryhollow import errors
+from savoryhollow import decoding, errors
 
 __all__ = [
     "Endpoint",
@@ -103,7 +103,7 @@
     service, _, endpoint_id = name.partition("/")
     try:
         entry = msgspec.json.decode(text, type=_Entry)
-    except msgspec.MsgspecError as error:
+    except decoding.FAILURES as error:
         remedy = f"run matching versions of all processes: {error}"
         problem = errors.Problem("the list", name, text[:80], remedy)
         raise errors.ConfigurationError([problem]) from error
--- a/src/savoryhollow/platform/boot.py
+++ b/src/savoryhollow/platform/boot.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from savoryhollow import errors
+from savoryhollow import decoding, errors
 from savoryhollow.proxy import options
 from savoryhollow.settings import models
 
@@ -77,7 +77,7 @@
         text = path.read_text()
         parsed = msgspec.convert(tomllib.loads(text), _BootFile)
         return _convert(parsed)
-    except (OSError, UnicodeDecodeError, ValueError) as error:
+    except (OSError, *decoding.FAILURES) as error:
         remedy = f"have the platform rewrite it: {error}"
         problem = errors.Problem(str(path), "$", "-", remedy)
         raise errors.SettingsError([problem]) from error
--- a/src/savoryhollow/platform/documents.py
+++ b/src/savoryhollow/platform/documents.py
@@ -2,11 +2,13 @@
 
 import base64
 import binascii
+import ipaddress
+import re
 import zlib
 
 import msgspec
 
-from savoryhollow import errors
+from savoryhollow import decoding, errors
 from savoryhollow.configuration import routes
 from savoryhollow.membership import directory, table
 from savoryhollow.proxy import relay
@@ -32,6 +34,11 @@
     "draining": table.EndpointState.LEAVING,
 }
 IDEMPOTENT_BY_KIND = {"safe": True, "unsafe": False}
+# The id is sent in a header, so it may only contain characters that are valid there.
+ENDPOINT_ID_PATTERN = re.compile(r"[!-~]+")
+MAX_PORT = 65_535
+# More slots than any backend server has.
+MAX_SLOTS = 65_536
 
 
 # ---------------------------------------------------------------------------
@@ -122,7 +129,7 @@
 def _decode(body, cls):
     try:
         return msgspec.json.decode(body, type=cls)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.FAILURES as error:
         message = f"invalid data from the store: {error}; correct it in the store"
         raise errors.StoreError(message) from error
 
@@ -163,13 +170,21 @@
     :raises errors.StoreError: if the entry doesn't describe a usable endpoint.
     """
     entry = _decode(_decompress_content(item), _Entry)
-    host, _, port = entry.address.rpartition(":")
-    is_known = entry.zone in regions_by_zone and entry.state in STATES_BY_NAME
-    if not (is_known and host and port.isdigit() and entry.service):
+    endpoint_id = item.key.removeprefix(ENDPOINT_PREFIX)
+    host = _parse_host(entry.address)
+    is_usable = (
+        host is not None
+        and entry.service
+        and entry.zone in regions_by_zone
+        and entry.state in STATES_BY_NAME
+        and entry.slots <= MAX_SLOTS
+        and ENDPOINT_ID_PATTERN.fullmatch(endpoint_id)
+    )
+    if host is None or not is_usable:
         message = f"{item.key} is no usable endpoint; correct the entry in the store"
         raise errors.StoreError(message)
     return directory.KnownEndpoint(
-        endpoint_id=item.key.removeprefix(ENDPOINT_PREFIX),
+        endpoint_id=endpoint_id,
         service=entry.service,
         region=regions_by_zone[entry.zone],
         zone=entry.zone,
@@ -182,6 +197,16 @@
     )
 
 
+def _parse_host(address: str) -> str | None:
+    """Return the IP address of a backend server; None unless the address is valid."""
+    host, _, port = address.rpartition(":")
+    try:
+        is_valid = 0 < int(port) <= MAX_PORT and ipaddress.IPv4Address(host)
+    except ValueError:
+        return None
+    return host if is_valid else None
+
+
 # ---------------------------------------------------------------------------
 #   The configuration
 # ---------------------------------------------------------------------------
--- a/src/savoryhollow/platform/early.py
+++ b/src/savoryhollow/platform/early.py
@@ -33,5 +33,13 @@
         settings = tomllib.loads(path.read_text())
         host, _, port = settings["listen"]["outbound"].rpartition(":")
         return socket.create_server((host, int(port)), backlog=BACKLOG)
-    except (OSError, ValueError, KeyError, TypeError, AttributeError):
+    except (
+        OSError,
+        OverflowError,
+        RecursionError,
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+    ):
         return None
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -39,10 +39,17 @@
     def apply_items(self, items: list[messages.PublishedItem]) -> None:
         """Apply new and changed items, the oldest first."""
         for item in sorted(items, key=lambda item: item.revision):
-            if item.key == documents.CONFIGURATION_KEY:
-                self._apply_configuration(item)
-            elif item.key.startswith(documents.ENDPOINT_PREFIX):
-                self._apply_endpoint(item)
+            try:
+                self._apply_item(item)
+            except Exception as error:
+                # The replica won't deliver the other items again.
+                tasks.log_failure("apply_item", error)
+
+    def _apply_item(self, item: messages.PublishedItem) -> None:
+        if item.key == documents.CONFIGURATION_KEY:
+            self._apply_configuration(item)
+        elif item.key.startswith(documents.ENDPOINT_PREFIX):
+            self._apply_endpoint(item)
 
     def _apply_configuration(self, item: messages.PublishedItem) -> None:
         if item.content is None:
--- a/src/savoryhollow/proxy/links.py
+++ b/src/savoryhollow/proxy/links.py
@@ -263,6 +263,10 @@
                 detail = repr(error)
             except errors.WireError as error:
                 detail = str(error)
+            except Exception as error:
+                # Nothing else would connect again.
+                tasks.log_failure("link", error)
+                detail = f"internal error: {type(error).__name__}"
             if self._task is not asyncio.current_task():
                 # Another task has opened a new connection in place of this one.
                 return
--- a/src/savoryhollow/store/client.py
+++ b/src/savoryhollow/store/client.py
@@ -3,7 +3,7 @@
 import msgspec
 import urllib3
 
-from savoryhollow import errors
+from savoryhollow import decoding, errors
 from savoryhollow.membership import table
 
 __all__ = ["Publication", "StoreClient"]
@@ -74,6 +74,6 @@
                 message = f"{path} returned {response.status}; check the store"
                 raise errors.StoreError(message)
             return msgspec.json.decode(response.data, type=model)
-        except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+        except (urllib3.exceptions.HTTPError, *decoding.FAILURES) as error:
             message = f"{path} returned no valid response: {error}; check the store"
             raise errors.StoreError(message) from error
--- a/src/savoryhollow/wire/codec.py
+++ b/src/savoryhollow/wire/codec.py
@@ -11,7 +11,7 @@
 import cbor2
 import msgspec
 
-from savoryhollow import errors
+from savoryhollow import decoding, errors
 from savoryhollow.wire import messages, packing
 
 __all__ = ["decode", "encode", "encode_packed"]
@@ -85,13 +85,10 @@
         cls = CLASSES_BY_KIND[kind]
         return msgspec.convert(_to_dict(cls, values), cls)
     except (
-        ValueError,
+        *decoding.FAILURES,
         TypeError,
         KeyError,
         EOFError,
-        OverflowError,
-        RecursionError,
-        msgspec.ValidationError,
         cbor2.CBORDecodeError,
     ) as error:
         text = f"{len(data)} bytes can't be decoded: {error}; run matching versions"
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -34,7 +34,7 @@
         return asyncio.get_running_loop().create_future()
 
 
-def make_link():
+def make_link(host="127.0.0.1"):
     settings = links.LinkSettings(
         messages.HelloMessage(messages.PROTOCOL_VERSION, "one", "1"),
         1 << 20,
@@ -42,7 +42,7 @@
         lambda message: True,
         lambda: -1,
     )
-    return links.Link("e", "127.0.0.1", 1, settings)
+    return links.Link("e", host, 1, settings)
 
 
 async def was_aborted(connection, receive_data):
