Start although settings, ports or a stop come at the wrong moment

Three ways were reproduced with real processes, each ending the daemon within its first second: SIGTERM before the libraries are loaded, a settings file that is half written, and a port in use (the metrics port too).

Cause: what the process meets at its start was taken for final, and SIGTERM had its default effect until the event loop ran.

Change: SIGTERM is remembered and becomes a planned stop; settings are read again for 2 s until they are valid; a port in use is tried again for 3 s; a daemon without its metrics port serves and logs that.

--- a/src/savoryhollow/platform/__main__.py
+++ b/src/savoryhollow/platform/__main__.py
@@ -8,6 +8,11 @@
 # It is ignored until libraries are loaded, as the settings are only read afterwards.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+# SIGTERM must not end the process before it has answered the requests that callers have
+# sent meanwhile, so it is remembered until the daemon can stop.
+early_signals: list[int] = []
+signal.signal(signal.SIGTERM, lambda number, _: early_signals.append(number))
+
 from savoryhollow.platform import early  # noqa: E402
 
 if __name__ == "__main__":
@@ -18,6 +23,6 @@
     from savoryhollow.platform import process
 
     try:
-        sys.exit(process.run(front_socket, listening_since))
+        sys.exit(process.run(front_socket, listening_since, early_signals))
     except errors.SettingsError as error:
         sys.exit(str(error))
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -7,6 +7,7 @@
 import pathlib
 import signal
 import socket
+import time
 
 from savoryhollow import errors
 from savoryhollow.observe import events, output
@@ -20,6 +21,10 @@
 
 # Interval of checks for changes of the settings file, in s.
 SETTINGS_CHECK_INTERVAL_S = 0.5
+# Time after the start in which the platform may still be writing the settings file, and
+# interval between attempts to read it, in s.
+SETTINGS_WAIT_S = 2.0
+SETTINGS_RETRY_INTERVAL_S = 0.05
 
 
 class Adapter:
@@ -155,11 +160,14 @@
     settings: boot.BootSettings,
     front_socket: socket.socket | None,
     listening_since: float,
+    early_signals: list[int],
 ) -> bool:
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
+    if early_signals:
+        stop_requested.set()
     adapter = Adapter(settings)
     agent = adapter.agent
     reload_requested = asyncio.Event()
@@ -194,22 +202,51 @@
     return None
 
 
-def run(front_socket: socket.socket | None, listening_since: float) -> int:
+def _read_settings(path: pathlib.Path) -> tuple[boot.BootSettings, tuple[int, int]]:
+    """Return the settings, and the file's stamp from before they were read.
+
+    The platform may replace the file while the process starts.
+
+    :raises errors.SettingsError: if the settings stay invalid.
+    """
+    deadline = time.monotonic() + SETTINGS_WAIT_S
+    while True:
+        stamp = _file_stamp(path)
+        try:
+            return boot.read(path), stamp
+        except errors.SettingsError:
+            if time.monotonic() >= deadline:
+                raise
+        time.sleep(SETTINGS_RETRY_INTERVAL_S)
+
+
+def run(
+    front_socket: socket.socket | None,
+    listening_since: float,
+    early_signals: list[int],
+) -> int:
     """Run a daemon until SIGTERM or SIGINT.
 
     :param front_socket: a socket that is already listening for callers, if any.
     :param listening_since: the monotonic time since which it has been listening, in s.
+    :param early_signals: the signals to stop that came before this call.
     :returns: the exit status: 0 if all requests had ended, else 1.
-    :raises errors.SettingsError: if the settings are invalid.
+    :raises errors.SettingsError: if the settings are invalid or a port cannot be
+        opened.
     """
     path = early.settings_path()
-    last_stamp = _file_stamp(path)
-    settings = boot.read(path)
+    settings, last_stamp = _read_settings(path)
     events.configure(settings.agent.instance, stream=output.LossyStream(1))
     with asyncio.Runner() as runner:
-        drained = runner.run(
-            _serve(path, last_stamp, settings, front_socket, listening_since)
+        serving = _serve(
+            path, last_stamp, settings, front_socket, listening_since, early_signals
         )
+        try:
+            drained = runner.run(serving)
+        except OSError as error:
+            remedy = f"name ports of this instance that are not in use: {error}"
+            problem = errors.Problem(str(path), "listen", "-", remedy)
+            raise errors.SettingsError([problem]) from error
         logging.shutdown()
         # An ordinary exit would wait for links to peers that don't answer.
         os._exit(0 if drained else 1)
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import functools
 import random
 import secrets
 import socket
@@ -22,6 +23,7 @@
     links,
     load_reports,
     options,
+    ports,
     readers,
     relay,
     request_metrics,
@@ -186,13 +188,19 @@
         """
         settings = self.settings
         for address in settings.inner:
-            await self._inner_port.start(address.host, address.port)
-        await self._readiness_server.start(
-            settings.readiness.host, settings.readiness.port
+            await ports.open_port(
+                functools.partial(self._inner_port.start, address.host, address.port)
+            )
+        await ports.open_port(
+            lambda: self._readiness_server.start(
+                settings.readiness.host, settings.readiness.port
+            )
         )
-        await self._metrics_server.start(settings.metrics.host, settings.metrics.port)
-        await self._caller_server.start(
-            settings.front.host, settings.front.port, front_socket, listening_since
+        await self._start_metrics_server()
+        await ports.open_port(
+            lambda: self._caller_server.start(
+                settings.front.host, settings.front.port, front_socket, listening_since
+            )
         )
         self._tasks.append(tasks.spawn_supervised("publish", self._reporter.run))
         self._tasks.append(tasks.spawn_supervised("run_upkeep", self._run_upkeep))
@@ -211,6 +219,14 @@
             inner_port=settings.inner[0].port,
         )
 
+    async def _start_metrics_server(self) -> None:
+        address = self.settings.metrics
+        try:
+            await self._metrics_server.start(address.host, address.port)
+        except OSError as error:
+            # Serving callers is more important than metrics.
+            tasks.log_failure("metrics", error)
+
     async def stop(self) -> bool:
         """Finish the requests in progress and close all ports.
 
--- /dev/null
+++ b/src/savoryhollow/proxy/ports.py
@@ -0,0 +1,31 @@
+"""Open the ports of a daemon when it starts."""
+
+import asyncio
+import collections.abc
+import errno
+
+__all__ = ["open_port"]
+
+# Time that a port may still be in use, such as by an earlier process, in s.
+PORT_WAIT_S = 3.0
+RETRY_INTERVAL_S = 0.1
+TEMPORARY_ERRORS = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
+
+
+async def open_port(
+    start: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+) -> None:
+    """Start to listen; wait if the address can't be used yet.
+
+    :param start: the coroutine function that listens.
+    :raises OSError: if the port can't be opened in time.
+    """
+    clock = asyncio.get_running_loop().time
+    deadline = clock() + PORT_WAIT_S
+    while True:
+        try:
+            return await start()
+        except OSError as error:
+            if error.errno not in TEMPORARY_ERRORS or clock() >= deadline:
+                raise
+        await asyncio.sleep(RETRY_INTERVAL_S)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -3,11 +3,14 @@
 import contextlib
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
 
-from savoryhollow.platform import early
+import pytest
+
+from savoryhollow.platform import boot, early
 
 START_TIMEOUT_S = 60
 POLL_INTERVAL_S = 0.01
@@ -32,3 +35,99 @@
     _, stderr = daemon.communicate(timeout=START_TIMEOUT_S)
     assert daemon.returncode == 1
     assert b"have the platform rewrite it" in stderr
+
+
+def settings_text(ip):
+    return f"""
+node = "one"
+ip = "{ip}"
+zone = "east-a"
+region = "east"
+app_addr = "{ip}:8145"
+service = "dispatch"
+bounds = ["grace_s=4"]
+[zones]
+east-a = "east"
+[listen]
+inbound = "{ip}:8146"
+outbound = "{ip}:8147"
+ready = "{ip}:8141"
+[platform]
+address = "{ip}:8142"
+"""
+
+
+def reserve_ip():
+    """Return a loopback address of this process."""
+    return f"127.{121 + os.getpid() % 100}.{os.getpid() // 100 % 250}.1"
+
+
+@contextlib.contextmanager
+def running_daemon(path):
+    daemon = subprocess.Popen(
+        [sys.executable, "-m", "savoryhollow.platform"],
+        env=os.environ | {early.SETTINGS_VARIABLE: str(path)},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+    )
+    try:
+        yield daemon
+    finally:
+        daemon.kill()
+        daemon.communicate()
+
+
+def wait_until_ready_port_opens(daemon, ip):
+    deadline = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < deadline and daemon.poll() is None:
+        with contextlib.suppress(OSError):
+            socket.create_connection((ip, 8141), 1.0).close()
+            return
+        time.sleep(POLL_INTERVAL_S)
+    raise AssertionError(f"no daemon, exit status {daemon.poll()}")
+
+
+def test_sigterm_during_startup_is_a_planned_stop(tmp_path):
+    """It used to end the process at once, with the requests that callers had sent."""
+    path = tmp_path / "settings"
+    os.mkfifo(path)
+    text = settings_text(reserve_ip()).encode()
+    with running_daemon(path) as daemon:
+        stop_sent = False
+        while daemon.poll() is None:
+            with contextlib.suppress(OSError):
+                # Opening the FIFO succeeds only while the daemon reads its settings.
+                settings_fd = os.open(path, os.O_WRONLY | os.O_NONBLOCK)
+                if not stop_sent:
+                    daemon.send_signal(signal.SIGTERM)
+                    stop_sent = True
+                os.write(settings_fd, text)
+                os.close(settings_fd)
+            time.sleep(POLL_INTERVAL_S)
+        assert daemon.returncode == 0
+
+
+def test_a_daemon_waits_for_settings_that_are_being_written(tmp_path):
+    path = tmp_path / "settings"
+    ip = reserve_ip()
+    text = settings_text(ip)
+    path.write_text(text[: len(text) // 2])
+    with running_daemon(path) as daemon:
+        time.sleep(1.0)
+        path.write_text(text)
+        wait_until_ready_port_opens(daemon, ip)
+
+
+@pytest.mark.parametrize("port", [8146, 8147, 9464], ids=["inner", "front", "metrics"])
+def test_a_daemon_starts_although_a_port_is_still_in_use(tmp_path, port):
+    path = tmp_path / "settings"
+    ip = reserve_ip()
+    path.write_text(settings_text(ip))
+    with socket.create_server((ip, port)) as other:
+        with running_daemon(path) as daemon:
+            time.sleep(1.0)
+            if port != boot.METRICS_PORT:
+                other.close()
+            wait_until_ready_port_opens(daemon, ip)
+            time.sleep(0.5)
+            assert daemon.poll() is None
