Close connections without cutting what their callers still receive

Cause: CallerConnection.close aborted the transport 1 s after the response was handed over, and a connection that is closed with received data unread is reset, so callers that pipeline lost data even sooner. A response also counted as ended once it was written, so the process could end before it was sent. A request that came on a connection which was accepted just when the server closed was read and dropped, and nothing ever closed it.

Unconfirmed responses count as in progress. A server can refuse requests with a response instead of dropping them, and end those in progress with one.

The class CallerConnection moved to a module of its own.

--- /dev/null
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -0,0 +1,318 @@
+"""A connection from a caller, with pipelining.
+
+Pipelined requests with safe methods are served concurrently; their responses are sent
+in the order of the requests. Any other request starts only after all earlier responses
+were sent: if the connection were closed before that, the caller would send the request
+again although it may have run.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import typing
+
+import httptools
+
+from savoryhollow import calls
+from savoryhollow.http1 import closing, messages
+
+if typing.TYPE_CHECKING:
+    from savoryhollow.http1 import callers
+
+__all__ = ["CallerConnection"]
+
+# Maximum number of unanswered requests read from one connection.
+MAX_PIPELINED = 64
+# Methods whose requests may run concurrently with others of the same connection.
+CONCURRENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+
+
+@dataclasses.dataclass(slots=True)
+class _PipelinedRequest:
+    """A request of a connection whose response has not been sent yet.
+
+    :param request: the request; None if it was rejected while it was read.
+    :param response: the response, once it is known.
+    :param task: the task that serves the request, once it has started.
+    """
+
+    request: messages.Request | None
+    response: messages.Response | None = None
+    task: asyncio.Task | None = None
+
+
+class CallerConnection(asyncio.Protocol):
+    """A connection from a caller.
+
+    :param server: the server that accepted it.
+    """
+
+    def __init__(self, server: "callers.Server"):
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpRequestParser(self)
+        self._pipeline: collections.deque[_PipelinedRequest] = collections.deque()
+        self._transport: asyncio.Transport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._data_arrived_at: float | None = None
+        self._closed = False
+        self._refusal_bytes = 0
+        self._graceful_close: closing.GracefulClose | None = None
+        self._reset_message()
+
+    @property
+    def pending_count(self) -> int:
+        """The number of requests that are not answered yet."""
+        return len(self._pipeline)
+
+    @property
+    def is_sending(self) -> bool:
+        """Whether the caller hasn't received the responses to served requests."""
+        if self._transport is None:
+            return False
+        return closing.unsent_bytes(self._transport) > self._refusal_bytes
+
+    # -----------------------------------------------------------------------
+    #   Callbacks of the transport
+    # -----------------------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the new connection with the server."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+        self._restart_timer()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the requests in progress, as the caller is gone."""
+        self._closed = True
+        self._server.connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._graceful_close is not None:
+            self._graceful_close.cancel()
+        self._cancel_requests()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse data from the caller."""
+        if self._closed:
+            return
+        self._record_arrival()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(400)
+        except httptools.HttpParserError:
+            self._reject(400)
+        self._restart_timer()
+
+    def _record_arrival(self) -> None:
+        assert self._transport is not None
+        now = self._loop.time()
+        if self._data_arrived_at is None:
+            now = self._server.first_data_arrived_at(self._transport, now)
+        self._data_arrived_at = now
+
+    # -----------------------------------------------------------------------
+    #   Callbacks of the parser
+    # -----------------------------------------------------------------------
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._headers: list[calls.Header] = []
+        self._body: list[bytes] = []
+        self._header_bytes = 0
+        self._body_bytes = 0
+        self._reading_message = False
+
+    def on_message_begin(self) -> None:
+        """Start a new request."""
+        self._reset_message()
+        self._reading_message = True
+
+    def on_url(self, url: bytes) -> None:
+        """Store a part of the request target."""
+        self._target += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Store a header."""
+        header = calls.Header(name.decode("latin-1"), value.decode("latin-1"))
+        self._headers.append(header)
+        self._count_header_bytes(len(name) + len(value) + 4)
+
+    def _count_header_bytes(self, size: int) -> None:
+        self._header_bytes += size
+        if self._header_bytes > self._server.limits.header_bytes:
+            self._reject(431)
+
+    def on_headers_complete(self) -> None:
+        """Send ``100 Continue`` if the caller waits for it."""
+        expected = messages.find_header(tuple(self._headers), "expect")
+        if expected and expected.lower() == "100-continue" and not self._closed:
+            assert self._transport is not None
+            if not self._pipeline:
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Store a part of the body."""
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits.body_bytes:
+            self._reject(413)
+
+    def on_message_complete(self) -> None:
+        """Add the complete request to the pipeline."""
+        self._reading_message = False
+        refusal = self._server.refusal
+        if self._closed or (refusal is not None and self._pipeline):
+            # The response before it closes the connection, so the caller knows that
+            # the request has not run.
+            return
+        if refusal is not None:
+            self._refusal_bytes = len(messages.render_response(refusal))
+            self._refuse(refusal)
+            return
+        assert self._data_arrived_at is not None
+        request = messages.Request(
+            method=self._parser.get_method().decode("latin-1"),
+            target=self._target.decode("latin-1"),
+            headers=tuple(self._headers),
+            body=b"".join(self._body),
+            received_at=self._data_arrived_at,
+            keep_alive=self._parser.should_keep_alive(),
+        )
+        self._pipeline.append(_PipelinedRequest(request))
+        if len(self._pipeline) >= MAX_PIPELINED:
+            assert self._transport is not None
+            self._transport.pause_reading()
+        self._start_ready()
+
+    # -----------------------------------------------------------------------
+    #   Pipeline
+    # -----------------------------------------------------------------------
+
+    def _start_ready(self) -> None:
+        """Start each request that need not wait for earlier responses."""
+        for position, entry in enumerate(self._pipeline):
+            if entry.request is None:
+                return
+            if entry.request.method not in CONCURRENT_METHODS:
+                if position == 0 and entry.task is None:
+                    self._start_task(entry)
+                return
+            if entry.task is None:
+                self._start_task(entry)
+            if not entry.request.keep_alive:
+                return
+
+    def _start_task(self, entry: _PipelinedRequest) -> None:
+        assert entry.request is not None
+        entry.task = self._loop.create_task(self._serve(entry, entry.request))
+
+    async def _serve(self, entry: _PipelinedRequest, request: messages.Request) -> None:
+        try:
+            entry.response = await self._server.handle(request)
+        finally:
+            if entry.response is None and not self._closed:
+                # The handler failed, so it isn't known whether the request has run.
+                # Respond without saying anything about that.
+                entry.response = messages.Response(500, close=True)
+            self._flush()
+
+    def _flush(self) -> None:
+        while (
+            self._pipeline
+            and self._pipeline[0].response is not None
+            and not self._closed
+        ):
+            entry = self._pipeline.popleft()
+            self._write(entry)
+        if not self._closed:
+            self._start_ready()
+            if len(self._pipeline) < MAX_PIPELINED and self._transport is not None:
+                self._transport.resume_reading()
+            self._restart_timer()
+
+    def _write(self, entry: _PipelinedRequest) -> None:
+        assert entry.response is not None and self._transport is not None
+        request = entry.request
+        is_kept_alive = request is not None and request.keep_alive
+        # While the server is closing, a connection with unanswered requests is closed
+        # only after the last response.
+        must_close = not is_kept_alive or entry.response.close
+        must_close = must_close or (self._server.closing and not self._pipeline)
+        response = messages.Response(
+            entry.response.status,
+            entry.response.headers,
+            entry.response.body,
+            must_close,
+        )
+        self._transport.write(messages.render_response(response))
+        if must_close:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection once the caller has received all responses."""
+        self._closed = True
+        self._cancel_requests()
+        if self._transport is not None and not self._transport.is_closing():
+            self._graceful_close = closing.GracefulClose(self._transport)
+
+    def end_requests(self, response: messages.Response) -> None:
+        """Cancel the requests in progress.
+
+        :param response: the response to each of them.
+        """
+        for entry in self._pipeline:
+            if entry.response is None:
+                entry.response = response
+                if entry.task is not None:
+                    entry.task.cancel()
+        self._flush()
+
+    def _cancel_requests(self) -> None:
+        for entry in self._pipeline:
+            if entry.task is not None:
+                entry.task.cancel()
+        self._pipeline.clear()
+
+    def _reject(self, status: int) -> None:
+        """Reject an invalid request, after the responses to all earlier ones."""
+        self._refuse(messages.Response(status, close=True))
+
+    def _refuse(self, response: messages.Response) -> None:
+        """End the requests of this connection with a response that closes it."""
+        if self._pipeline and self._pipeline[-1].request is None:
+            return
+        self._server.on_rejected(response.status, tuple(self._headers))
+        self._pipeline.append(_PipelinedRequest(None, response))
+        if self._transport is not None:
+            self._transport.pause_reading()
+        self._flush()
+
+    # -----------------------------------------------------------------------
+    #   Timeouts
+    # -----------------------------------------------------------------------
+
+    def _restart_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self._closed or self._pipeline:
+            return
+        limits = self._server.limits
+        timeout_s = (
+            limits.header_timeout_s if self._reading_message else limits.idle_timeout_s
+        )
+        self._timer = self._loop.call_later(timeout_s, self._on_timeout)
+
+    def _on_timeout(self) -> None:
+        if self._pipeline or self._closed:
+            return
+        if self._reading_message:
+            self._reject(408)
+        elif self._transport is not None:
+            # A request that is on its way stays unread, so the caller sends it again.
+            self._closed = True
+            self._transport.close()
--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -1,34 +1,19 @@
-"""HTTP/1.1 server for callers, with pipelining.
-
-Pipelined requests with safe methods are served concurrently; their responses are sent
-in the order of the requests. Any other request starts only after all earlier responses
-were sent: if the connection were closed before that, the caller would send the request
-again although it may have run.
-"""
+"""HTTP/1.1 server for callers."""
 
 import asyncio
-import collections
 import collections.abc
 import dataclasses
 import socket
 
-import httptools
-
 from savoryhollow import calls
-from savoryhollow.http1 import messages, tcp_info
+from savoryhollow.http1 import caller_connection, messages, tcp_info
 
-__all__ = ["CallerConnection", "Handler", "Limits", "Server"]
+__all__ = ["Handler", "Limits", "Server"]
 
-# Maximum number of unanswered requests read from one connection.
-MAX_PIPELINED = 64
 # Maximum number of connections waiting to be accepted.
 BACKLOG = 1024
-# Time for the caller to read what is still buffered when a connection is closed, in s.
-CLOSE_TIMEOUT_S = 1.0
 # Time after the start in which connections may have waited for it, in s.
 START_WINDOW_S = 1.0
-# Methods whose requests may run concurrently with others of the same connection.
-CONCURRENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 
 Handler = collections.abc.Callable[
     [messages.Request], collections.abc.Awaitable[messages.Response]
@@ -52,20 +37,6 @@
     idle_timeout_s: float = 60.0
 
 
-@dataclasses.dataclass(slots=True)
-class _PipelinedRequest:
-    """A request of a connection whose response has not been sent yet.
-
-    :param request: the request; None if it was rejected while it was read.
-    :param response: the response, once it is known.
-    :param task: the task that serves the request, once it has started.
-    """
-
-    request: messages.Request | None
-    response: messages.Response | None = None
-    task: asyncio.Task | None = None
-
-
 class Server:
     """Accepts connections from callers.
 
@@ -80,19 +51,22 @@
         self.handle = handle
         self.limits = Limits()
         self.closing = False
-        self.closed = False
+        self.refusal: messages.Response | None = None
         self.on_rejected: collections.abc.Callable[
             [int, tuple[calls.Header, ...]], None
         ] = lambda status, headers: None
-        self.connections: set[CallerConnection] = set()
+        self.connections: set[caller_connection.CallerConnection] = set()
         self._listening_since: float | None = None
         self._started_at = float("-inf")
         self._server: asyncio.Server | None = None
 
     @property
     def in_progress(self) -> int:
-        """The number of requests that were read and are not answered yet."""
-        return sum(connection.pending_count for connection in self.connections)
+        """The number of requests whose caller hasn't received the response yet."""
+        return sum(
+            connection.pending_count or connection.is_sending
+            for connection in self.connections
+        )
 
     async def start(
         self,
@@ -116,7 +90,9 @@
         self._listening_since = listening_since
         self._started_at = loop.time()
         self._server = await loop.create_server(
-            lambda: CallerConnection(self), sock=listening_socket, backlog=BACKLOG
+            lambda: caller_connection.CallerConnection(self),
+            sock=listening_socket,
+            backlog=BACKLOG,
         )
 
     def first_data_arrived_at(self, transport: asyncio.Transport, now: float) -> float:
@@ -135,261 +111,27 @@
         """Close each connection with a response after which no request is pending."""
         self.closing = True
 
-    def close(self) -> None:
-        """Stop accepting connections and requests, and close idle connections.
+    def refuse_requests(self, refusal: messages.Response) -> None:
+        """Refuse all further requests; those that were read are still served.
+
+        Connections stay open until a request comes, because one may be on its way.
 
-        Responses to requests that were already read are still sent.
+        :param refusal: the response to each request; it closes the connection.
         """
         self.closing = True
-        self.closed = True
-        if self._server is not None:
-            self._server.close()
-        for connection in tuple(self.connections):
-            if not connection.pending_count:
-                connection.close()
-
-
-class CallerConnection(asyncio.Protocol):
-    """A connection from a caller.
-
-    :param server: the server that accepted it.
-    """
-
-    def __init__(self, server: Server):
-        self._server = server
-        self._loop = asyncio.get_running_loop()
-        self._parser = httptools.HttpRequestParser(self)
-        self._pipeline: collections.deque[_PipelinedRequest] = collections.deque()
-        self._transport: asyncio.Transport | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._data_arrived_at: float | None = None
-        self._closed = False
-        self._reset_message()
-
-    @property
-    def pending_count(self) -> int:
-        """The number of requests that are not answered yet."""
-        return len(self._pipeline)
-
-    # -----------------------------------------------------------------------
-    #   Callbacks of the transport
-    # -----------------------------------------------------------------------
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register the new connection with the server."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        self._server.connections.add(self)
-        self._restart_timer()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the requests in progress, as the caller is gone."""
-        self._closed = True
-        self._server.connections.discard(self)
-        if self._timer is not None:
-            self._timer.cancel()
-        for entry in self._pipeline:
-            if entry.task is not None:
-                entry.task.cancel()
-        self._pipeline.clear()
-
-    def data_received(self, data: bytes) -> None:
-        """Parse data from the caller."""
-        if self._closed:
-            return
-        self._record_arrival()
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
-        except httptools.HttpParserError:
-            self._reject(400)
-        self._restart_timer()
-
-    def _record_arrival(self) -> None:
-        assert self._transport is not None
-        now = self._loop.time()
-        if self._data_arrived_at is None:
-            now = self._server.first_data_arrived_at(self._transport, now)
-        self._data_arrived_at = now
+        self.refusal = refusal
 
-    # -----------------------------------------------------------------------
-    #   Callbacks of the parser
-    # -----------------------------------------------------------------------
+    def end_requests(self, response: messages.Response) -> None:
+        """Cancel all requests in progress.
 
-    def _reset_message(self) -> None:
-        self._target = b""
-        self._headers: list[calls.Header] = []
-        self._body: list[bytes] = []
-        self._header_bytes = 0
-        self._body_bytes = 0
-        self._reading_message = False
-
-    def on_message_begin(self) -> None:
-        """Start a new request."""
-        self._reset_message()
-        self._reading_message = True
-
-    def on_url(self, url: bytes) -> None:
-        """Store a part of the request target."""
-        self._target += url
-        self._count_header_bytes(len(url))
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header."""
-        header = calls.Header(name.decode("latin-1"), value.decode("latin-1"))
-        self._headers.append(header)
-        self._count_header_bytes(len(name) + len(value) + 4)
-
-    def _count_header_bytes(self, size: int) -> None:
-        self._header_bytes += size
-        if self._header_bytes > self._server.limits.header_bytes:
-            self._reject(431)
-
-    def on_headers_complete(self) -> None:
-        """Send ``100 Continue`` if the caller waits for it."""
-        expected = messages.find_header(tuple(self._headers), "expect")
-        if expected and expected.lower() == "100-continue" and not self._closed:
-            assert self._transport is not None
-            if not self._pipeline:
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        """Store a part of the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits.body_bytes:
-            self._reject(413)
-
-    def on_message_complete(self) -> None:
-        """Add the complete request to the pipeline."""
-        self._reading_message = False
-        if self._closed or self._server.closed:
-            # The request is dropped without a response. It has not run, so the
-            # caller can safely send it again on another connection.
-            return
-        assert self._data_arrived_at is not None
-        request = messages.Request(
-            method=self._parser.get_method().decode("latin-1"),
-            target=self._target.decode("latin-1"),
-            headers=tuple(self._headers),
-            body=b"".join(self._body),
-            received_at=self._data_arrived_at,
-            keep_alive=self._parser.should_keep_alive(),
-        )
-        self._pipeline.append(_PipelinedRequest(request))
-        if len(self._pipeline) >= MAX_PIPELINED:
-            assert self._transport is not None
-            self._transport.pause_reading()
-        self._start_ready()
-
-    # -----------------------------------------------------------------------
-    #   Pipeline
-    # -----------------------------------------------------------------------
-
-    def _start_ready(self) -> None:
-        """Start each request that need not wait for earlier responses."""
-        for position, entry in enumerate(self._pipeline):
-            if entry.request is None:
-                return
-            if entry.request.method not in CONCURRENT_METHODS:
-                if position == 0 and entry.task is None:
-                    self._start_task(entry)
-                return
-            if entry.task is None:
-                self._start_task(entry)
-            if not entry.request.keep_alive:
-                return
-
-    def _start_task(self, entry: _PipelinedRequest) -> None:
-        assert entry.request is not None
-        entry.task = self._loop.create_task(self._serve(entry, entry.request))
-
-    async def _serve(self, entry: _PipelinedRequest, request: messages.Request) -> None:
-        try:
-            entry.response = await self._server.handle(request)
-        finally:
-            if entry.response is None and not self._closed:
-                # The handler failed, so it isn't known whether the request has run.
-                # Respond without saying anything about that.
-                entry.response = messages.Response(500, close=True)
-            self._flush()
-
-    def _flush(self) -> None:
-        while (
-            self._pipeline
-            and self._pipeline[0].response is not None
-            and not self._closed
-        ):
-            entry = self._pipeline.popleft()
-            self._write(entry)
-        if not self._closed:
-            self._start_ready()
-            if len(self._pipeline) < MAX_PIPELINED and self._transport is not None:
-                self._transport.resume_reading()
-            self._restart_timer()
-
-    def _write(self, entry: _PipelinedRequest) -> None:
-        assert entry.response is not None and self._transport is not None
-        request = entry.request
-        is_kept_alive = request is not None and request.keep_alive
-        # While the server is closing, a connection with unanswered requests is closed
-        # only after the last response.
-        must_close = not is_kept_alive or entry.response.close
-        must_close = must_close or (self._server.closing and not self._pipeline)
-        response = messages.Response(
-            entry.response.status,
-            entry.response.headers,
-            entry.response.body,
-            must_close,
-        )
-        self._transport.write(messages.render_response(response))
-        if must_close:
-            self.close()
+        :param response: the response to each of them.
+        """
+        for connection in tuple(self.connections):
+            connection.end_requests(response)
 
     def close(self) -> None:
-        """Close the connection after all buffered data is sent."""
-        self._closed = True
-        for entry in self._pipeline:
-            if entry.task is not None:
-                entry.task.cancel()
-        self._pipeline.clear()
-        if self._transport is not None:
-            self._transport.close()
-            self._loop.call_later(CLOSE_TIMEOUT_S, self._transport.abort)
-
-    def _reject(self, status: int) -> None:
-        """Reject an invalid request, after the responses to all earlier ones."""
-        if self._pipeline and self._pipeline[-1].request is None:
-            return
-        self._server.on_rejected(status, tuple(self._headers))
-        self._pipeline.append(
-            _PipelinedRequest(None, messages.Response(status, close=True))
-        )
-        if self._transport is not None:
-            self._transport.pause_reading()
-        self._flush()
-
-    # -----------------------------------------------------------------------
-    #   Timeouts
-    # -----------------------------------------------------------------------
-
-    def _restart_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        if self._closed or self._pipeline:
-            return
-        limits = self._server.limits
-        timeout_s = (
-            limits.header_timeout_s if self._reading_message else limits.idle_timeout_s
-        )
-        self._timer = self._loop.call_later(timeout_s, self._on_timeout)
-
-    def _on_timeout(self) -> None:
-        if self._pipeline or self._closed:
-            return
-        if self._reading_message:
-            self._reject(408)
-        else:
-            self.close()
+        """Stop accepting connections, and requests if they aren't refused yet."""
+        if self.refusal is None:
+            self.refuse_requests(messages.Response(503, close=True))
+        if self._server is not None:
+            self._server.close()
--- a/tests/test_random_input.py
+++ b/tests/test_random_input.py
@@ -15,7 +15,7 @@
 import pytest
 
 from savoryhollow import errors
-from savoryhollow.http1 import backends, callers, messages
+from savoryhollow.http1 import backends, caller_connection, callers, messages
 from savoryhollow.platform import documents
 from savoryhollow.proxy import gate as gate_module
 from savoryhollow.proxy import inner, relay
@@ -120,6 +120,12 @@
     def get_write_buffer_size(self):
         return 0
 
+    def write_eof(self):
+        pass
+
+    def is_closing(self):
+        return self.closed
+
     def pause_reading(self):
         pass
 
@@ -148,7 +154,7 @@
     async def main():
         server = callers.Server(handle)
         for _, rng, data in damaged_inputs(REQUESTS):
-            connection = callers.CallerConnection(server)
+            connection = caller_connection.CallerConnection(server)
             transport = Transport()
             connection.connection_made(transport)
             for piece in pieces(rng, data):
