Answer every request until a planned stop has ended

Reproduced with real processes: 2 of 699 requests, sent 2.81 s after SIGTERM on new connections, were read, dropped without a log line, and their connections stayed open until the process ended 2.8 s later.

Cause: 2.8 s after SIGTERM the daemon stopped to listen and closed idle connections; what came in just then met neither. Requests of that time could also have deadlines beyond the end of the process, and answers to other daemons that waited in a buffer ended with it.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -14,6 +14,10 @@
 __all__ = ["BackendServer"]
 
 HEALTH_PATH = "/health"
+# Lengths of most responses, and of the few that socket buffers can't hold, in bytes.
+RESPONSE_BYTES = (200, 1500, 9000)
+LONG_RESPONSE_BYTES = 6_000_000
+LONG_RESPONSE_SHARE = 0.01
 DIALECT = headers.DIALECT
 
 
@@ -218,7 +222,9 @@
 
     async def _send_response(self, run: records.Run, status: int, writer) -> None:
         body = f"{run.request_id} at {self.endpoint_id} ".encode()
-        body = body.ljust(self._rng.choice((200, 1500, 9000)), b".")
+        is_long = self._rng.random() < LONG_RESPONSE_SHARE
+        length = LONG_RESPONSE_BYTES if is_long else self._rng.choice(RESPONSE_BYTES)
+        body = body.ljust(length, b".")
         response_headers = {
             DIALECT.request_id: run.request_id,
             DIALECT.signature: records.sign(run.request_id, status, body),
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -44,6 +44,9 @@
 # Share of requests that the caller abandons early, and after how long.
 ABANDON_SHARE = 0.05
 ABANDON_AFTER_S = 0.1
+# Share of requests whose caller reads nothing at first, and for how long.
+SLOW_READ_SHARE = 0.1
+SLOW_READ_S = 1.4
 
 
 @dataclasses.dataclass(slots=True)
@@ -168,6 +171,8 @@
         )
         try:
             async with asyncio.timeout_at(limit):
+                if not abandons and rng is not None:
+                    await _pause_reading(rng)
                 response = await connection.reader.read()
         except TimeoutError:
             _record_abandonment(batch[index:], history)
@@ -189,6 +194,13 @@
     return True
 
 
+async def _pause_reading(rng: random.Random) -> None:
+    """Read slowly now and then, so that responses wait in the daemon."""
+    if rng.random() < SLOW_READ_SHARE:
+        # The stream stops to receive once its buffer is full.
+        await asyncio.sleep(SLOW_READ_S)
+
+
 def _send(
     connection: _Connection, sent: records.Sent, history: records.History
 ) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,7 +26,7 @@
 
 
 def _entry(**changes: object) -> dict[str, object]:
-    entry = {"service": layout.SERVICES[0], "address": "10.0.0.9:80"}
+    entry: dict[str, object] = {"service": layout.SERVICES[0], "address": "10.0.0.9:80"}
     entry |= {"zone": next(iter(layout.REGIONS_BY_ZONE)), "state": "ready", "slots": 4}
     return entry | changes
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -16,9 +16,9 @@
 # Statuses which state that a request hasn't run and won't run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 MAX_ATTEMPTS = 3
-# In this last part of the grace period, requests may be interrupted.
+# A request may be interrupted if an endpoint still runs it in this last part of the
+# grace period, and if it was sent soon enough after SIGTERM.
 FINAL_GRACE_SHARE = 1 / 6
-# A request that is sent later than this after SIGTERM may be interrupted.
 CALLER_GRACE_S = 3.0
 
 Check = collections.abc.Callable[[records.History], list[str]]
@@ -209,7 +209,7 @@
         was_read = ran or sent.ended_at - sent.sent_at > BOUNDS.assumed_read_after_s
         window_s = BOUNDS.stability_window_s
         undisturbed = history.is_undisturbed(sent.sent_at - window_s, sent.ended_at)
-        if was_read and undisturbed and not _may_be_interrupted(sent, stop):
+        if was_read and undisturbed and not _may_be_interrupted(sent, ran, stop):
             violations.append(f"interrupted by a planned stop: {sent}")
     return violations
 
@@ -221,9 +221,15 @@
     return None
 
 
-def _may_be_interrupted(sent: records.Sent, stop: records.Disturbance) -> bool:
+def _may_be_interrupted(
+    sent: records.Sent, runs: list[records.Run] | None, stop: records.Disturbance
+) -> bool:
     final_part_at = stop.since + BOUNDS.grace_s * (1 - FINAL_GRACE_SHARE)
-    return sent.sent_at > stop.since + CALLER_GRACE_S or sent.ended_at >= final_part_at
+    still_ran = any(
+        run.started_at < stop.until and run.ended_at >= final_part_at
+        for run in runs or ()
+    )
+    return still_ran and sent.sent_at <= stop.since + CALLER_GRACE_S
 
 
 def find_wasted_runs(history: records.History) -> list[str]:
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -29,6 +29,7 @@
     request_metrics,
     router,
     state,
+    stopping,
     tasks,
 )
 from savoryhollow.proxy import dialect as dialect_module
@@ -38,19 +39,12 @@
 
 __all__ = ["Agent"]
 
-# Interval between checks of the membership, the links and a pending stop, in s.
+# Interval between checks of the membership and the links, in s.
 UPKEEP_INTERVAL_S = 0.1
 # Room in a message for everything but the body, in bytes.
 MESSAGE_MARGIN_BYTES = 1 << 20
 # Maximum body size while no configuration sets a limit, in bytes.
 DEFAULT_MAX_BODY_BYTES = 16 << 20
-# Time after a stop request during which callers' requests are still accepted, in s.
-# It must end before the platform blames the daemon for losing a late request.
-CALLER_GRACE_S = 2.8
-# Time after a stop request during which the gate still admits requests, in s.
-GATE_GRACE_S = 1.9
-# Part of the stop limit that is reserved for closing down, in s.
-STOP_MARGIN_S = 0.4
 # Random bytes in the id of one run of this process.
 INCARNATION_BYTES = 8
 # Paths on the metrics address.
@@ -230,36 +224,23 @@
     async def stop(self) -> bool:
         """Finish the requests in progress and close all ports.
 
-        Callers keep their connections until the platform redirects them, so
-        requests are still accepted for a while; each response closes its
-        connection.
-
         :returns: True if all requests ended within the stop limit.
         """
         events.emit(events.Event.DAEMON_STOPPING)
-        started = self._clock()
-        deadline = started + self.settings.stop_limit_s - STOP_MARGIN_S
         self.stopping = True
-        self._caller_server.disable_keep_alive()
-        await asyncio.sleep(GATE_GRACE_S)
-        self.gate.leave()
-        self._reporter.report_now()
-        await asyncio.sleep(CALLER_GRACE_S - GATE_GRACE_S)
-        # A request accepted from here on might outlive the process.
-        self._caller_server.close()
-        while self._clock() < deadline and self._has_requests_in_progress:
-            await asyncio.sleep(UPKEEP_INTERVAL_S)
-        drained = not self._has_requests_in_progress
-        self._inner_port.close()
+        drained = await stopping.finish_requests(
+            self.settings.stop_limit_s,
+            self._caller_server,
+            self.front,
+            self.gate,
+            self._reporter,
+            self._inner_port,
+        )
         for task in self._tasks:
             task.cancel()
         events.emit(events.Event.DAEMON_STOPPED, drained=drained)
         return drained
 
-    @property
-    def _has_requests_in_progress(self) -> bool:
-        return self._caller_server.in_progress > 0 or self.gate.in_progress > 0
-
     async def reconfigure(self, settings: options.AgentSettings) -> list[str]:
         """Apply new settings.
 
--- a/src/savoryhollow/proxy/front.py
+++ b/src/savoryhollow/proxy/front.py
@@ -43,6 +43,9 @@
     :param route_call: sends a call to an endpoint, with a maximum number of attempts.
     :param metrics: counts requests and measures their latency.
     :param clock: returns the current time, in s.
+
+    The attribute ``latest_deadline`` limits the deadlines of further requests. It is
+    set when the process is about to stop.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         self._metrics = metrics
         self._clock = clock
         self.table: routes.RouteTable | None = None
+        self.latest_deadline = float("inf")
         self._configured = asyncio.Event()
         self._configuration_deadline = clock() + CONFIGURATION_WAIT_S
         self._service_rotation = routes.WeightedRoundRobin()
@@ -121,7 +125,7 @@
             service=self._service_rotation.next_service(route),
             rank=route.name,
             caller="",
-            deadline=request.received_at + timeout_s,
+            deadline=min(request.received_at + timeout_s, self.latest_deadline),
             idempotent=route.idempotent,
             depth=0,
             attempts_left=route.max_attempts,
--- a/src/savoryhollow/proxy/inner.py
+++ b/src/savoryhollow/proxy/inner.py
@@ -14,6 +14,9 @@
 
 __all__ = ["InnerPort", "Listener"]
 
+# Time for the peers to close their connections after this daemon has, in s.
+CLOSE_TIMEOUT_S = 0.2
+
 # The connection of a daemon that asked for load reports.
 Listener = websockets.asyncio.server.ServerConnection
 
@@ -44,6 +47,7 @@
         self._servers: list[websockets.asyncio.server.Server] = []
         self._report_intervals_by_listener: dict[Listener, float] = {}
         self._followers: set[websockets.asyncio.server.ServerConnection] = set()
+        self._connections: set[websockets.asyncio.server.ServerConnection] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Listen on an additional address."""
@@ -85,10 +89,18 @@
         if self._followers:
             websockets.broadcast(self._followers, codec.encode(message))
 
-    def close(self) -> None:
-        """Stop listening and close every connection."""
+    @property
+    def is_sending(self) -> bool:
+        """Whether answers or updates wait to be sent."""
+        return any(one.transport.get_write_buffer_size() for one in self._connections)
+
+    async def close(self) -> None:
+        """Stop listening and close every connection, with a bound in time."""
         for server in self._servers:
             server.close()
+        closing = [asyncio.create_task(one.wait_closed()) for one in self._servers]
+        if closing:
+            await asyncio.wait(closing, timeout=CLOSE_TIMEOUT_S)
 
     # -----------------------------------------------------------------------
     #   Connections
@@ -96,6 +108,7 @@
 
     async def _serve_peer(self, connection) -> None:
         tasks_by_id: dict[str, asyncio.Task[None]] = {}
+        self._connections.add(connection)
         try:
             async for data in connection:
                 message = codec.decode(data, self._dictionary)
@@ -112,6 +125,7 @@
         finally:
             self._report_intervals_by_listener.pop(connection, None)
             self._followers.discard(connection)
+            self._connections.discard(connection)
             for task in tuple(tasks_by_id.values()):
                 task.cancel()
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -10,10 +10,12 @@
 
 import pytest
 import test_agent
+import test_http1
 
 from savoryhollow.configuration import routes
 from savoryhollow.membership import directory, table
 from savoryhollow.platform import headers
+from savoryhollow.proxy import inner, stopping
 from savoryhollow.settings import models
 
 HOST = "127.0.0.1"
@@ -158,3 +160,148 @@
         assert len(served_ids) > CONNECTIONS
 
     test_agent.run_with_timeout(main)
+
+
+# ---------------------------------------------------------------------------
+#   Requests that come late
+# ---------------------------------------------------------------------------
+
+STOP_LIMIT_S = 4.0
+# Longer than the whole stop.
+LONG_TIMEOUT_S = 20.0
+
+
+class HeldBackend:
+    """Runs each request until it is released; records how long it may take."""
+
+    def __init__(self):
+        self.timeouts_ms = []
+        self.released = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                fields = dict(
+                    line.split(": ", 1) for line in head.split("\r\n")[1:] if line
+                )
+                request_id = fields.get(DIALECT.request_id)
+                lines = [f"{DIALECT.endpoint_id}: e1"]
+                if request_id is not None:
+                    self.timeouts_ms.append(int(fields[DIALECT.deadline_ms]))
+                    await self.released.wait()
+                    lines += [f"{DIALECT.request_id}: {request_id}"]
+                    lines += [f"{DIALECT.signature}: s"]
+                head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Content-Length: 2"])
+                writer.write(head.encode() + b"\r\n\r\nok")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
+class StoppingWorld:
+    """A daemon with one request in progress, while it is told to stop."""
+
+    async def start(self):
+        self.backend = HeldBackend()
+        self.listener = await asyncio.start_server(self.backend.serve, HOST, 0)
+        port = self.listener.sockets[0].getsockname()[1]
+        self.agent = test_agent.make_agent(
+            backend=models.Target(HOST, port), stop_limit_s=STOP_LIMIT_S
+        )
+        await self.agent.start()
+        endpoint = directory.KnownEndpoint(
+            *("e1", "dispatch", "east", "east-a", HOST, 9), table.EndpointState.LIVE, 9
+        )
+        self.agent.members.put(endpoint)
+        route = dataclasses.replace(ROUTE, timeout_s=LONG_TIMEOUT_S)
+        assert self.agent.configure(
+            dataclasses.replace(test_agent.ROUTE_TABLE, routes=(route,))
+        )
+        self.first = asyncio.create_task(self.send("first"))
+        await test_http1.wait_until(lambda: self.backend.timeouts_ms)
+        self.stopping = asyncio.create_task(self.agent.stop())
+
+    async def send(self, request_id):
+        """Send a request on a new connection and return its status."""
+        port = test_agent.port_of(self.agent._caller_server)
+        reader, writer = await asyncio.open_connection(HOST, port)
+        lines = ["POST /job/x HTTP/1.1", "Host: work.example"]
+        lines += [f"{DIALECT.request_id}: {request_id}", "Content-Length: 0"]
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        try:
+            return await read_status(reader)
+        finally:
+            writer.close()
+
+
+def run_stopping(play):
+    async def main():
+        world = StoppingWorld()
+        await world.start()
+        await play(world)
+        world.listener.close()
+
+    test_agent.run_with_timeout(main)
+
+
+def test_a_request_that_comes_late_in_a_stop_is_refused_at_once():
+    """It was read and dropped, and its connection stayed open until the end."""
+
+    async def play(world):
+        await asyncio.sleep(stopping.CALLER_GRACE_S + 0.2)
+        assert await world.send("late") == 503
+        assert not world.first.done()
+        world.backend.released.set()
+        assert await world.first == 200
+        assert await world.stopping
+
+    run_stopping(play)
+
+
+def test_a_request_that_comes_during_a_stop_is_not_given_more_time_than_is_left():
+    async def play(world):
+        during = asyncio.create_task(world.send("during"))
+        await test_http1.wait_until(lambda: len(world.backend.timeouts_ms) == 2)
+        assert world.backend.timeouts_ms[0] > 1000 * STOP_LIMIT_S
+        assert world.backend.timeouts_ms[1] < 1000 * STOP_LIMIT_S
+        world.backend.released.set()
+        assert (await during, await world.first) == (200, 200)
+
+    run_stopping(play)
+
+
+def test_a_request_that_lasts_until_the_end_of_a_stop_gets_a_response():
+    async def play(world):
+        # The process is killed at the end of this time.
+        assert await asyncio.wait_for(world.first, STOP_LIMIT_S) == 504
+        assert not await world.stopping
+
+    run_stopping(play)
+
+
+def test_a_stop_waits_for_answers_that_are_not_sent_to_their_daemon_yet():
+    class Peer:
+        """The connection of a daemon that reads slowly."""
+
+        def __init__(self):
+            self.transport = self
+            self.unsent_bytes = 1
+
+        def get_write_buffer_size(self):
+            return self.unsent_bytes
+
+    async def main():
+        agent = test_agent.make_agent()
+        peer = Peer()
+        assert isinstance(agent._inner_port, inner.InnerPort)
+        agent._inner_port._connections.add(peer)
+        assert agent._inner_port.is_sending
+        stopping_task = asyncio.create_task(agent.stop())
+        await asyncio.sleep(stopping.CALLER_GRACE_S + 0.3)
+        assert not stopping_task.done()
+        peer.unsent_bytes = 0
+        assert await stopping_task
+
+    test_agent.run_with_timeout(main)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -260,3 +260,33 @@
     )
     assert report.violations == []
     assert report.statuses[200] > 0
+
+
+def interrupted_at(sent_at, ended_at, run_ended_at):
+    """Return a request that a planned stop at 99.9 interrupted."""
+    sent = make_sent(
+        status=None, signed=False, detail="closed", sent_at=sent_at, ended_at=ended_at
+    )
+    sent.deadline = sent_at + 60.0
+    history = make_history(
+        sent, make_run(status=None, started_at=sent_at, ended_at=run_ended_at)
+    )
+    until = 99.9 + BOUNDS.grace_s + 1
+    history.planned_stops.append(records.Disturbance("stop", PLACE, 99.9, until))
+    return history
+
+
+def test_a_request_that_still_runs_in_the_last_part_of_the_grace_may_be_interrupted():
+    assert not violated_checks(interrupted_at(102.0, 105.5, 105.5))
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "run_ended_at"),
+    [(103.5, 105.5), (102.0, 102.1)],
+    ids=["sent late", "no longer running"],
+)
+def test_no_other_request_may_be_interrupted_in_the_last_part_of_the_grace(
+    sent_at, run_ended_at
+):
+    history = interrupted_at(sent_at, 105.5, run_ended_at)
+    assert "find_interrupted_requests" in violated_checks(history)
