Believe the endpoint list alone on whose address it is

Cause: for addr_reuse_s after its own start a daemon took whichever backend server answered at its address for one of the service in its settings, and sent requests under that id. The address may have been given away since its former owner ended, which may be before the daemon started.

Change: resolve_endpoint_id returns an id only if the list names it at the local address, for the service. Probing at the start and address_kept_s go. test_requests_run_under_the_id_of_the_first_endpoint_to_respond_after_start asked for the fault; in its place test_only_the_list_tells_to_which_service_the_responding_endpoint_belongs and test_a_request_reaches_an_unlisted_endpoint_under_the_id_that_its_router_knew ask for the opposite.

--- a/src/savoryhollow/platform/boot.py
+++ b/src/savoryhollow/platform/boot.py
@@ -105,7 +105,6 @@
         backend=_parse_target(file.app_addr),
         retry_rules=rules,
         stop_limit_s=bounds.get("grace_s", DEFAULT_GRACE_S),
-        address_kept_s=bounds.get("addr_reuse_s", 0.0),
         seeds=tuple(_parse_target(seed) for seed in file.seeds),
     )
     return BootSettings(
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -74,8 +74,6 @@
         self.replica = relay.Replica(on_items, self._record_source_contact)
         self.request_metrics = request_metrics.RequestMetrics()
         self.stopping = False
-        self._started_at = self._clock()
-        self._initial_endpoint_id: str | None = None
         self._own_endpoint_was_listed = False
         self._applied_generation = -1
         pool = backends.Pool(settings.backend.host, settings.backend.port)
@@ -201,7 +199,6 @@
         self._tasks.append(
             tasks.spawn_supervised("poll_pace_in_spells", self.gate.poll_pace_in_spells)
         )
-        self._tasks.append(asyncio.create_task(self._discover_endpoint_id()))
         self._tasks.append(
             tasks.spawn_supervised("follow_readers", self.readers.follow)
         )
@@ -308,22 +305,19 @@
     def resolve_endpoint_id(self, service: str) -> str | None:
         """Return the id of the endpoint that runs a service's requests here.
 
-        The endpoint that responds at the local address is known to belong to the
-        service if the endpoint list says so, or if it responded right after this
-        process started: the settings were written for it, and its address can't
-        have been given to another service in so short a time.
+        Only the endpoint list tells to which service the endpoint that responds at
+        the local address belongs. The settings may be outdated: the address is given
+        to another service some time after the endpoint has ended, and the process
+        may have started in between.
 
         :returns: the id, or None if it isn't certain.
         """
-        responding_id = self.runner.endpoint_id
-        if responding_id is None or service != self.settings.service:
+        if service != self.settings.service:
             return None
         listed = self.find_own_endpoint()
-        if listed is not None and listed.endpoint_id == responding_id:
-            return responding_id
-        if self._initial_endpoint_id is None and self._is_address_reserved:
-            self._initial_endpoint_id = responding_id
-        return responding_id if responding_id == self._initial_endpoint_id else None
+        if listed is None or listed.endpoint_id != self.runner.endpoint_id:
+            return None
+        return listed.endpoint_id
 
     def _record_source_contact(self, in_contact: bool) -> None:
         if in_contact:
@@ -331,17 +325,6 @@
         else:
             self.members.mark_source_lost(self._clock())
 
-    @property
-    def _is_address_reserved(self) -> bool:
-        """True while the backend address can't have been given to another service."""
-        return self._clock() < self._started_at + self.settings.address_kept_s
-
-    async def _discover_endpoint_id(self) -> None:
-        """Probe the backend server after start until its endpoint id is known."""
-        while self._is_address_reserved and self.runner.endpoint_id is None:
-            await self.runner.probe()
-            await asyncio.sleep(UPKEEP_INTERVAL_S)
-
     async def _run_upkeep(self) -> None:
         while True:
             for endpoint_id in self.members.remove_due(self._clock()):
--- a/src/savoryhollow/proxy/options.py
+++ b/src/savoryhollow/proxy/options.py
@@ -37,8 +37,6 @@
     :param retry_rules: the retry budget of each service.
     :param stop_limit_s: time between the signal to stop and the kill of the
         process, in s.
-    :param address_kept_s: time for which the address of a terminated backend server
-        isn't assigned to another one, in s.
     :param seeds: inner addresses of some other daemons; they may be out of date.
     """
 
@@ -53,5 +51,4 @@
     backend: models.Target
     retry_rules: RetryRules
     stop_limit_s: float
-    address_kept_s: float
     seeds: tuple[models.Target, ...] = ()
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -4,13 +4,14 @@
 import dataclasses
 import json
 
+from savoryhollow import calls
 from savoryhollow.configuration import routes
 from savoryhollow.http1 import backends, callers
 from savoryhollow.http1 import messages as http
 from savoryhollow.membership import directory, table
 from savoryhollow.platform import early, headers
 from savoryhollow.proxy import agent as agent_module
-from savoryhollow.proxy import options, readers
+from savoryhollow.proxy import backend_responses, options, readers
 from savoryhollow.settings import models
 from savoryhollow.wire import messages
 
@@ -33,7 +34,6 @@
         "backend": models.Target("10.9.9.9", 9),
         "retry_rules": options.RetryRules(0.2, 10.0, 10.0),
         "stop_limit_s": 6.0,
-        "address_kept_s": 0.0,
     }
     return options.AgentSettings(**(defaults | changed))
 
@@ -219,28 +219,61 @@
     run_with_timeout(main)
 
 
-def test_requests_run_under_the_id_of_the_first_endpoint_to_respond_after_start():
-    """After a simultaneous restart, requests must not run under an outdated id.
+def local_endpoint(endpoint_id, service="dispatch"):
+    """Return an entry of the backend server beside the agent."""
+    return directory.KnownEndpoint(
+        *(endpoint_id, service, "east", "east-a", "10.9.9.9", 9, LIVE, 9)
+    )
 
-    Other daemons still know the endpoint by the id that it had before.
+
+def test_only_the_list_tells_to_which_service_the_responding_endpoint_belongs():
+    """A daemon that starts must not take any endpoint for one of its settings' service.
+
+    The address may have been given to another service since its endpoint ended, and
+    the settings may not say so yet.
     """
 
     async def main():
-        agent = make_agent(address_kept_s=2.0)
+        agent = make_agent()
         agent.runner.endpoint_id = "new"
+        assert agent.resolve_endpoint_id("dispatch") is None
+        agent.members.put(local_endpoint("old"))
+        assert agent.resolve_endpoint_id("dispatch") is None
+        agent.members.put(local_endpoint("new", service="stock"))
+        assert agent.resolve_endpoint_id("dispatch") is None
+        assert agent.resolve_endpoint_id("stock") is None
+        agent.members.put(local_endpoint("new"))
         assert agent.resolve_endpoint_id("dispatch") == "new"
         assert agent.resolve_endpoint_id("stock") is None
-        agent.runner.endpoint_id = "newer"
-        assert agent.resolve_endpoint_id("dispatch") is None
 
     run_with_timeout(main)
 
 
-def test_an_unlisted_endpoint_that_responds_only_later_is_not_identified():
+def test_a_request_reaches_an_unlisted_endpoint_under_the_id_that_its_router_knew():
+    """An endpoint of another service then answers 421 and doesn't run it."""
+
     async def main():
-        agent = make_agent(address_kept_s=0.0)
-        agent.runner.endpoint_id = "new"
-        assert agent.resolve_endpoint_id("dispatch") is None
+        agent = make_agent()
+        expected_ids = []
+
+        async def run(call, deadline):
+            expected_ids.append(call.expected_endpoint)
+            return backend_responses.BackendResult(
+                reason=calls.NotRunReason.MISDIRECTED
+            )
+
+        agent.runner.endpoint_id = "of another service"
+        agent.runner.run = run
+        call = messages.CallMessage(
+            *("r1", "dispatch", "r-job", "", 5_000_000, False, 0, 1, "POST", "/", ()),
+            b"",
+            objective_us=4_000_000,
+            expected_endpoint="old",
+            patient=True,
+        )
+        answer = await agent.gate.serve(call)
+        assert isinstance(answer, messages.NotRunMessage)
+        assert expected_ids == ["old"]
 
     run_with_timeout(main)
 
