Bound the memory that long bodies take

Cause: up to five copies of each body at once (parts, joined body, rendered request, transport buffer and a slice), without any bound on their sum. A body over 16 MiB for another daemon was sent all the same; its link was closed for the size, with all other requests on it.

Change: http1.body_budget reserves memory for long bodies in order, within memory_mb less 80 MB; a connection whose body doesn't fit isn't read until it does, and gets a 503 if that takes too long or can't be. Bodies are gathered once and sent to the backend server in parts. Bodies too long for a message between daemons go to the local backend server alone.

--- a/src/savoryhollow/http1/backends.py
+++ b/src/savoryhollow/http1/backends.py
@@ -13,7 +13,7 @@
 from savoryhollow import calls, errors
 from savoryhollow.http1 import messages
 
-__all__ = ["Connection", "Pool", "is_response_to", "open_connection"]
+__all__ = ["BODY_PART_BYTES", "Connection", "Pool", "is_response_to", "open_connection"]
 
 # Timeout for establishing a connection, in s.
 CONNECT_TIMEOUT_S = 1.0
@@ -29,6 +29,8 @@
 MAX_RESPONSE_BYTES = 16 << 20
 # Limit of what is received without any part of a body, in bytes.
 MAX_HEAD_BYTES = 1 << 16
+# Longer bodies are sent in parts of this size, in bytes.
+BODY_PART_BYTES = 1 << 18
 # Length of the cautious period after a server has dropped an idle connection, in s.
 CAUTIOUS_PERIOD_S = 30.0
 
@@ -56,6 +58,8 @@
         self._on_data: collections.abc.Callable[[], None] = lambda: None
         self._id_header: str | None = None
         self._request_id: str | None = None
+        self._can_write = asyncio.Event()
+        self._can_write.set()
         self.usable = True
         self.idle_until = float("inf")
         self.idle_since = self._loop.time()
@@ -74,6 +78,7 @@
         id_header: str | None = None,
         request_id: str | None = None,
         on_data: collections.abc.Callable[[], None] = lambda: None,
+        body: bytes = b"",
     ) -> messages.Response:
         """Send a request and wait for its response.
 
@@ -83,6 +88,7 @@
         :param request_id: the id of the request, if it has one; responses that don't
             certainly belong to it are ignored.
         :param on_data: called whenever a part of the response was received.
+        :param body: a long body, sent after the data in parts.
         :returns: the complete response.
         :raises errors.BackendError: if no complete response was received.
         """
@@ -97,6 +103,7 @@
         self._received_bytes = 0
         self._bytes_since_body = 0
         self._transport.write(data)
+        sending = asyncio.ensure_future(self._send_body(body)) if body else None
         try:
             response = await self._response_future
         except BaseException:
@@ -104,13 +111,34 @@
             raise
         finally:
             self._response_future = None
-        if self._transport.get_write_buffer_size():
+            is_sent = sending is None or sending.done()
+            if sending is not None:
+                sending.cancel()
+        if not is_sent or self._transport.get_write_buffer_size():
             # The server responded before the whole request was sent. The rest of it
             # would be taken for the start of the next request.
             self.abort()
         self.idle_since = self._loop.time()
         return response
 
+    async def _send_body(self, body: bytes) -> None:
+        """Send a body in parts, so that the transport never copies all of it."""
+        assert self._transport is not None
+        parts = memoryview(body)
+        for start in range(0, len(body), BODY_PART_BYTES):
+            await self._can_write.wait()
+            if not self.usable:
+                return
+            self._transport.write(parts[start : start + BODY_PART_BYTES])
+
+    def pause_writing(self) -> None:
+        """Wait with the next part, as the transport's buffer is full."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with the next part."""
+        self._can_write.set()
+
     def abort(self) -> None:
         """Close the connection immediately."""
         self.usable = False
--- a/src/savoryhollow/http1/caller_connection.py
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -23,6 +23,10 @@
 
 # Maximum number of unanswered requests read from one connection.
 MAX_PIPELINED = 64
+# The response to a request whose body can't be held in memory.
+NO_MEMORY_RESPONSE = messages.Response(
+    503, (calls.Header("Retry-After", "0.50"),), close=True
+)
 # Methods whose requests may run concurrently with others of the same connection.
 CONCURRENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
 
@@ -34,11 +38,13 @@
     :param request: the request; None if it was rejected while it was read.
     :param response: the response, once it is known.
     :param task: the task that serves the request, once it has started.
+    :param reserved_bytes: the memory reserved for its body.
     """
 
     request: messages.Request | None
     response: messages.Response | None = None
     task: asyncio.Task | None = None
+    reserved_bytes: int = 0
 
 
 class CallerConnection(asyncio.Protocol):
@@ -58,6 +64,8 @@
         self._closed = False
         self._refusal_bytes = 0
         self._graceful_close: closing.GracefulClose | None = None
+        self._reserved_bytes = 0
+        self._awaits_memory = False
         self._reset_message()
 
     @property
@@ -120,9 +128,8 @@
     def _reset_message(self) -> None:
         self._target = b""
         self._headers: list[calls.Header] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._header_bytes = 0
-        self._body_bytes = 0
         self._reading_message = False
 
     def on_message_begin(self) -> None:
@@ -147,7 +154,10 @@
             self._reject(431)
 
     def on_headers_complete(self) -> None:
-        """Send ``100 Continue`` if the caller waits for it."""
+        """Reserve memory for the body; send ``100 Continue`` if it is waited for."""
+        length = messages.find_header(tuple(self._headers), "content-length") or ""
+        if length.isdecimal():
+            self._reserve_length(int(length))
         expected = messages.find_header(tuple(self._headers), "expect")
         if expected and expected.lower() == "100-continue" and not self._closed:
             assert self._transport is not None
@@ -156,10 +166,52 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._server.limits.body_bytes:
+        self._body += body
+        limit, budget = self._server.limits.body_bytes, self._server.body_budget
+        if len(self._body) > limit:
             self._reject(413)
+        elif not budget.fits(len(self._body)):
+            self._refuse(NO_MEMORY_RESPONSE)
+        elif budget.cost_bytes(len(self._body)) and not self._reserved_bytes:
+            # A chunked body, whose length isn't known before its end.
+            self._reserve_memory(limit)
+
+    def _reserve_length(self, body_bytes: int) -> None:
+        """Reserve memory for a body whose length is known, unless it is too long."""
+        if body_bytes > self._server.limits.body_bytes:
+            # It is rejected once that much of it was received.
+            return
+        if not self._server.body_budget.fits(body_bytes):
+            self._refuse(NO_MEMORY_RESPONSE)
+            return
+        self._reserve_memory(body_bytes)
+
+    def _reserve_memory(self, body_bytes: int) -> None:
+        """Reserve memory for a body, and read nothing until it is granted."""
+        assert self._transport is not None
+        budget = self._server.body_budget
+        cost_bytes = budget.cost_bytes(body_bytes)
+        if not cost_bytes or self._closed:
+            return
+        self._reserved_bytes = cost_bytes
+        self._awaits_memory = not budget.reserve(cost_bytes, self._on_memory_granted)
+        if self._awaits_memory:
+            self._transport.pause_reading()
+
+    def _on_memory_granted(self) -> None:
+        assert self._transport is not None
+        self._awaits_memory = False
+        self._transport.resume_reading()
+        self._restart_timer()
+
+    def _release_memory(self) -> None:
+        """Give back the memory of the body that is being read."""
+        if self._awaits_memory:
+            self._awaits_memory = False
+            self._server.body_budget.withdraw(self._on_memory_granted)
+        elif self._reserved_bytes:
+            self._server.body_budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
 
     def on_message_complete(self) -> None:
         """Add the complete request to the pipeline."""
@@ -178,11 +230,14 @@
             method=self._parser.get_method().decode("latin-1"),
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
-            body=b"".join(self._body),
+            body=bytes(self._body),
             received_at=self._data_arrived_at,
             keep_alive=self._parser.should_keep_alive(),
         )
-        self._pipeline.append(_PipelinedRequest(request))
+        self._body = bytearray()
+        entry = _PipelinedRequest(request, reserved_bytes=self._reserved_bytes)
+        self._reserved_bytes = 0
+        self._pipeline.append(entry)
         if len(self._pipeline) >= MAX_PIPELINED:
             assert self._transport is not None
             self._transport.pause_reading()
@@ -228,9 +283,11 @@
         ):
             entry = self._pipeline.popleft()
             self._write(entry)
+            self._server.body_budget.release(entry.reserved_bytes)
         if not self._closed:
             self._start_ready()
-            if len(self._pipeline) < MAX_PIPELINED and self._transport is not None:
+            has_room = len(self._pipeline) < MAX_PIPELINED and not self._awaits_memory
+            if has_room and self._transport is not None:
                 self._transport.resume_reading()
             self._restart_timer()
 
@@ -272,7 +329,9 @@
         self._flush()
 
     def _cancel_requests(self) -> None:
+        self._release_memory()
         for entry in self._pipeline:
+            self._server.body_budget.release(entry.reserved_bytes)
             if entry.task is not None:
                 entry.task.cancel()
         self._pipeline.clear()
@@ -310,7 +369,9 @@
     def _on_timeout(self) -> None:
         if self._pipeline or self._closed:
             return
-        if self._reading_message:
+        if self._awaits_memory:
+            self._refuse(NO_MEMORY_RESPONSE)
+        elif self._reading_message:
             self._reject(408)
         elif self._transport is not None:
             # A request that is on its way stays unread, so the caller sends it again.
--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -6,12 +6,14 @@
 import socket
 
 from savoryhollow import calls
-from savoryhollow.http1 import caller_connection, messages, tcp_info
+from savoryhollow.http1 import body_budget, caller_connection, messages, tcp_info
 
 __all__ = ["Handler", "Limits", "Server"]
 
 # Maximum number of connections waiting to be accepted.
 BACKLOG = 1024
+# Memory for the bodies of requests, in bytes.
+DEFAULT_BODY_MEMORY_BYTES = 200 << 20
 # Time after the start in which connections may have waited for it, in s.
 START_WINDOW_S = 1.0
 
@@ -50,6 +52,7 @@
     def __init__(self, handle: Handler):
         self.handle = handle
         self.limits = Limits()
+        self.body_budget = body_budget.BodyBudget(DEFAULT_BODY_MEMORY_BYTES)
         self.closing = False
         self.refusal: messages.Response | None = None
         self.on_rejected: collections.abc.Callable[
--- a/src/savoryhollow/http1/messages.py
+++ b/src/savoryhollow/http1/messages.py
@@ -11,6 +11,7 @@
     "end_to_end_headers",
     "find_header",
     "render_request",
+    "render_request_head",
     "render_response",
 ]
 
@@ -93,11 +94,16 @@
 
 def render_request(request: Request) -> bytes:
     """Serialize a request; its headers must not include ``Content-Length``."""
+    return render_request_head(request) + request.body
+
+
+def render_request_head(request: Request) -> bytes:
+    """Serialize a request without its body."""
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     lines += [f"{header.name}: {header.value}" for header in request.headers]
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         lines.append(f"Content-Length: {len(request.body)}")
-    return _encode_head(lines) + request.body
+    return _encode_head(lines)
 
 
 def render_response(response: Response) -> bytes:
--- a/src/savoryhollow/platform/boot.py
+++ b/src/savoryhollow/platform/boot.py
@@ -17,6 +17,11 @@
 DEFAULT_GRACE_S = 6.0
 DEFAULT_RETRY_RATIO = 0.2
 DEFAULT_RETRY_WINDOW_S = 10.0
+# Memory that the process may use if the file doesn't say, in MB.
+DEFAULT_MEMORY_MB = 300.0
+# Memory that the process uses for everything but the bodies of requests, in bytes.
+OTHER_MEMORY_BYTES = 80 << 20
+MIN_BODY_MEMORY_BYTES = 16 << 20
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -30,6 +35,10 @@
     address: str
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    memory_mb: float = DEFAULT_MEMORY_MB
+
+
 class _BootFile(msgspec.Struct, frozen=True):
     """The content of the settings file.
 
@@ -49,6 +58,7 @@
     listen: _Listen
     platform: _Store
     zones: dict[str, str]
+    limits: _Limits = _Limits()
     seeds: list[str] = []
     bounds: list[str] = []
 
@@ -104,6 +114,10 @@
         metrics=models.Address(file.ip, METRICS_PORT),
         backend=_parse_target(file.app_addr),
         retry_rules=rules,
+        body_memory_bytes=max(
+            MIN_BODY_MEMORY_BYTES,
+            int(file.limits.memory_mb * (1 << 20)) - OTHER_MEMORY_BYTES,
+        ),
         stop_limit_s=bounds.get("grace_s", DEFAULT_GRACE_S),
         seeds=tuple(_parse_target(seed) for seed in file.seeds),
     )
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -12,7 +12,7 @@
 
 from savoryhollow import calls
 from savoryhollow.configuration import routes
-from savoryhollow.http1 import backends, callers
+from savoryhollow.http1 import backends, body_budget, callers
 from savoryhollow.http1 import messages as http
 from savoryhollow.membership import directory, table
 from savoryhollow.observe import events
@@ -43,8 +43,6 @@
 UPKEEP_INTERVAL_S = 0.1
 # Room in a message for everything but the body, in bytes.
 MESSAGE_MARGIN_BYTES = 1 << 20
-# Maximum body size while no configuration sets a limit, in bytes.
-DEFAULT_MAX_BODY_BYTES = 16 << 20
 # Random bytes in the id of one run of this process.
 INCARNATION_BYTES = 8
 # Paths on the metrics address.
@@ -89,6 +87,9 @@
         )
         self._caller_server = callers.Server(self.front.handle)
         self._caller_server.on_rejected = self.front.record_rejected
+        self._caller_server.body_budget = body_budget.BodyBudget(
+            settings.body_memory_bytes
+        )
         self._readiness_server = callers.Server(self._answer_readiness)
         self._metrics_server = callers.Server(self._answer_metrics)
         self._inner_port = self._build_inner_port()
@@ -109,7 +110,7 @@
     def _build_inner_port(self) -> inner.InnerPort:
         return inner.InnerPort(
             self.gate,
-            DEFAULT_MAX_BODY_BYTES + MESSAGE_MARGIN_BYTES,
+            router.MAX_FORWARDED_BODY_BYTES + MESSAGE_MARGIN_BYTES,
             self.replica,
             self._clock,
             self._dictionary,
@@ -138,7 +139,7 @@
             )
             link_settings = links.LinkSettings(
                 hello,
-                DEFAULT_MAX_BODY_BYTES + MESSAGE_MARGIN_BYTES,
+                router.MAX_FORWARDED_BODY_BYTES + MESSAGE_MARGIN_BYTES,
                 self.router.record_report,
                 lambda message: self.replica.receive(message, self._clock(), host),
                 lambda: self.replica.as_of,
--- a/src/savoryhollow/proxy/backend_runner.py
+++ b/src/savoryhollow/proxy/backend_runner.py
@@ -99,11 +99,15 @@
         if now >= deadline - RESPONSE_MARGIN_S:
             pool.release(connection)
             return backend_responses.BackendResult(reason=calls.NotRunReason.DEADLINE)
-        data = messages.render_request(self._build_request(call, deadline - now))
+        request = self._build_request(call, deadline - now)
+        if len(request.body) > backends.BODY_PART_BYTES:
+            data, body = messages.render_request_head(request), request.body
+        else:
+            data, body = messages.render_request(request), b""
         try:
             async with asyncio.timeout_at(deadline + RESPONSE_GRACE_S):
                 response = await connection.exchange(
-                    data, self._dialect.request_id, request_id
+                    data, self._dialect.request_id, request_id, body=body
                 )
         except TimeoutError:
             return backend_responses.BackendResult(detail="no answer by the deadline")
--- a/src/savoryhollow/proxy/options.py
+++ b/src/savoryhollow/proxy/options.py
@@ -35,6 +35,7 @@
     :param metrics: the address that serves the metrics and the state dump.
     :param backend: the address of the local backend server.
     :param retry_rules: the retry budget of each service.
+    :param body_memory_bytes: the memory for the bodies of callers' requests.
     :param stop_limit_s: time between the signal to stop and the kill of the
         process, in s.
     :param seeds: inner addresses of some other daemons; they may be out of date.
@@ -50,5 +51,6 @@
     metrics: models.Address
     backend: models.Target
     retry_rules: RetryRules
+    body_memory_bytes: int
     stop_limit_s: float
     seeds: tuple[models.Target, ...] = ()
--- a/src/savoryhollow/proxy/router.py
+++ b/src/savoryhollow/proxy/router.py
@@ -16,8 +16,10 @@
 from savoryhollow.routing import nearby, placement, subsets
 from savoryhollow.wire import messages
 
-__all__ = ["Router"]
+__all__ = ["MAX_FORWARDED_BODY_BYTES", "Router"]
 
+# A longer body doesn't fit into a message between daemons, in bytes.
+MAX_FORWARDED_BODY_BYTES = 16 << 20
 # Attempts after which a call is given up, not counting bounces.
 MAX_GATES_ASKED = 4
 
@@ -140,6 +142,8 @@
         )
 
     def _candidates(self, call: calls.Call, tried: set[str]):
+        if len(call.body) > MAX_FORWARDED_BODY_BYTES:
+            return self._local_candidates(call, tried)
         subset = self._subset(call.service)
         candidates = [
             c for c in map(self._candidate, subset) if c and _untried(c, tried)
@@ -150,6 +154,12 @@
         live = self._members.live_endpoints(call.service)
         return [c for c in map(self._candidate, live) if c and _untried(c, tried)]
 
+    def _local_candidates(self, call: calls.Call, tried: set[str]):
+        """Return the endpoint of this instance, if it can run the call."""
+        live = self._members.live_endpoints(call.service)
+        local = [self._candidate(e) for e in live if e.host == self._host]
+        return [c for c in local if c and _untried(c, tried)]
+
     def _candidate(self, endpoint) -> placement.Candidate | None:
         evidence = self._evidence(endpoint.endpoint_id)
         if endpoint.host == self._host:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -33,6 +33,7 @@
         "metrics": ANY,
         "backend": models.Target("10.9.9.9", 9),
         "retry_rules": options.RetryRules(0.2, 10.0, 10.0),
+        "body_memory_bytes": 200 << 20,
         "stop_limit_s": 6.0,
     }
     return options.AgentSettings(**(defaults | changed))
--- /dev/null
+++ b/tests/test_body_budget.py
@@ -0,0 +1,235 @@
+"""Long bodies, inside the limits, must not take more memory than the process has.
+
+Each body was held in several copies at once, and nothing bounded how many: two of
+60 MiB took a daemon over its memory, and the requests under way there ended with it.
+"""
+
+import asyncio
+import contextlib
+
+import pytest
+import test_agent
+import test_http1
+
+from savoryhollow import calls
+from savoryhollow.http1 import backends, body_budget, callers, messages
+from savoryhollow.membership import directory, table
+from savoryhollow.proxy import attempts, router
+
+MIB = 1 << 20
+LIMIT = 20 * MIB
+# Takes the whole budget: four copies of it don't fit, two do.
+LONG = 8 * MIB
+
+
+class Recorder:
+    """Holds requests until they are released; records the lengths of their bodies."""
+
+    def __init__(self):
+        self.lengths = []
+        self.released = asyncio.Semaphore(0)
+
+    async def handle(self, request):
+        self.lengths.append(len(request.body))
+        if request.body:
+            await self.released.acquire()
+        return messages.Response(200)
+
+
+@contextlib.asynccontextmanager
+async def serving(**limits):
+    recorder = Recorder()
+    # One more connection stays open, which sends nothing.
+    async with test_http1.serving(recorder, **limits) as (server, _, _):
+        server.body_budget = body_budget.BodyBudget(LIMIT)
+        yield server, recorder
+
+
+async def connect(server):
+    address = server._server.sockets[0].getsockname()
+    return await asyncio.open_connection(*address)
+
+
+async def upload(server, length, chunked=False):
+    """Send a request with a body; return its status, 0 if the connection ended."""
+    reader, writer = await connect(server)
+    framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {length}"
+    writer.write(f"POST /a HTTP/1.1\r\nHost: x\r\n{framing}\r\n\r\n".encode())
+    body = length * b"x"
+    if chunked:
+        body = f"{length:x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+    writer.write(body)
+    try:
+        head, _ = await test_http1.read_body(reader)
+        return int(head.split()[1])
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return 0
+    finally:
+        writer.close()
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+def test_long_bodies_are_read_one_after_the_other(chunked):
+    async def main():
+        async with serving() as (server, recorder):
+            uploads = [
+                asyncio.create_task(upload(server, LONG, chunked)) for _ in range(3)
+            ]
+            for number in range(1, 4):
+                await test_http1.wait_until(lambda n=number: len(recorder.lengths) >= n)
+                await asyncio.sleep(0.05)
+                assert recorder.lengths == number * [LONG]
+                recorder.released.release()
+            assert await asyncio.gather(*uploads) == [200, 200, 200]
+            await test_http1.wait_until(lambda: len(server.connections) == 1)
+            assert server.body_budget._used_bytes == 0
+
+    test_http1.run_with_timeout(main)
+
+
+def test_shorter_requests_do_not_wait_for_long_bodies():
+    async def main():
+        async with serving() as (server, recorder):
+            uploads = [asyncio.create_task(upload(server, LONG)) for _ in range(2)]
+            await test_http1.wait_until(lambda: recorder.lengths)
+            recorder.released.release()
+            recorder.released.release()
+            recorder.released.release()
+            assert await upload(server, 4000) == 200
+            await asyncio.gather(*uploads)
+
+    test_http1.run_with_timeout(main)
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+def test_a_body_that_can_not_be_held_is_refused(chunked):
+    async def main():
+        async with serving() as (server, recorder):
+            assert await upload(server, LIMIT // 2 + MIB, chunked) == 503
+            assert recorder.lengths == []
+            await test_http1.wait_until(lambda: len(server.connections) == 1)
+            assert server.body_budget._used_bytes == 0
+
+    test_http1.run_with_timeout(main)
+
+
+def test_a_caller_that_leaves_gives_its_place_to_the_next():
+    async def main():
+        async with serving() as (server, recorder):
+            first, waiting, last = [
+                asyncio.create_task(upload(server, LONG)) for _ in range(3)
+            ]
+            await test_http1.wait_until(lambda: len(server.connections) == 4)
+            await test_http1.wait_until(lambda: recorder.lengths)
+            waiting.cancel()
+            await asyncio.sleep(0.05)
+            first.cancel()
+            await test_http1.wait_until(lambda: len(recorder.lengths) == 2)
+            recorder.released.release()
+            assert await last == 200
+
+    test_http1.run_with_timeout(main)
+
+
+def test_a_body_that_waits_too_long_for_memory_is_refused():
+    async def main():
+        async with serving(header_timeout_s=0.2) as (server, recorder):
+            first = asyncio.create_task(upload(server, LONG))
+            await test_http1.wait_until(lambda: recorder.lengths)
+            assert await upload(server, LONG) == 503
+            recorder.released.release()
+            assert await first == 200
+
+    test_http1.run_with_timeout(main)
+
+
+def test_memory_is_granted_in_order():
+    budget = body_budget.BodyBudget(LIMIT)
+    granted = []
+    assert budget.reserve(LIMIT, granted.append)
+    assert not budget.reserve(MIB, lambda: granted.append("one"))
+    assert not budget.reserve(LIMIT, lambda: granted.append("two"))
+    assert not budget.reserve(MIB, lambda: granted.append("three"))
+    budget.release(LIMIT)
+    assert granted == ["one"]
+    budget.release(MIB)
+    assert granted == ["one", "two"]
+
+
+def test_a_long_body_is_sent_to_a_backend_server_without_a_copy_of_all_of_it():
+    async def main():
+        received = []
+        go = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await go.wait()
+            received.append(await reader.readexactly(LONG))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        connection = await backends.open_connection("127.0.0.1", port)
+        body = bytes(range(256)) * (LONG // 256)
+        exchange = asyncio.create_task(
+            connection.exchange(b"POST / HTTP/1.1\r\n\r\n", body=body)
+        )
+        await asyncio.sleep(0.1)
+        assert connection._transport.get_write_buffer_size() < MIB
+        go.set()
+        assert (await exchange).status == 200
+        assert received == [body]
+        listener.close()
+
+    test_http1.run_with_timeout(main)
+
+
+def test_a_body_too_long_for_a_message_is_only_sent_to_the_local_backend_server():
+    """The other daemon used to close the link, with all other requests on it."""
+
+    async def main():
+        agent = test_agent.make_agent()
+        for number, host in enumerate(("10.9.9.9", "10.9.9.8")):
+            agent.members.put(
+                directory.KnownEndpoint(
+                    *(f"e{number}", "dispatch", "east", "east-a", host, 9),
+                    table.EndpointState.LIVE,
+                    9,
+                )
+            )
+        agent.router.add_services(["dispatch"])
+        hosts_by_length = {}
+        for length in (MIB, router.MAX_FORWARDED_BODY_BYTES + 1):
+            call = make_call(length, agent.now)
+            candidates = agent.router._candidates(call, attempts.Progress().tried)
+            hosts_by_length[length] = {c.endpoint.host for c in candidates}
+        assert list(hosts_by_length.values()) == [
+            {"10.9.9.9", "10.9.9.8"},
+            {"10.9.9.9"},
+        ]
+
+    test_agent.run_with_timeout(main)
+
+
+def make_call(length, now):
+    return calls.Call(
+        request_id="r1",
+        service="dispatch",
+        rank="r-job",
+        caller="",
+        deadline=now + 5,
+        idempotent=False,
+        depth=0,
+        attempts_left=1,
+        method="POST",
+        path="/",
+        headers=(),
+        body=bytes(length),
+        order=1,
+        objective=now + 4,
+    )
+
+
+def test_callers_server_has_a_budget_by_default():
+    assert isinstance(callers.Server(None).body_budget, body_budget.BodyBudget)
