Let no entry of an unknown service take the place of an endpoint

An entry that another writer leaves, of a service that the configuration doesn't name, replaced the endpoint at its address: the live one got no requests.

Cause: the newest entry of an address wins, as addresses are used again.

Change: it wins only if the configuration names its service. Of the items of one update the configuration is applied first, so that this is known.

Evidence: test_an_entry_of_an_unknown_service_takes_the_place_of_no_endpoint [nobody] failed before; [records] holds that a named service still may.

--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -10,6 +10,7 @@
 import time
 
 from savoryhollow import errors
+from savoryhollow.membership import directory
 from savoryhollow.observe import events, output
 from savoryhollow.platform import boot, documents, early, headers, store
 from savoryhollow.proxy import agent as agent_module
@@ -42,8 +43,8 @@
         self.follower = store.StoreFollower(settings.store, self.agent.readers)
 
     def apply_items(self, items: list[messages.PublishedItem]) -> None:
-        """Apply new and changed items, the oldest first."""
-        for item in sorted(items, key=lambda item: item.revision):
+        """Apply new and changed items: the configuration, then the oldest first."""
+        for item in sorted(items, key=_application_order):
             try:
                 self._apply_item(item)
             except Exception as error:
@@ -75,6 +76,10 @@
         if endpoint is None:
             members.remove(endpoint_id, self._clock())
             state = "removed"
+        elif self._is_intruder(endpoint):
+            detail = f"{item.key} has the address of another endpoint"
+            events.emit(events.Event.ENDPOINT_UNREADABLE, detail=detail)
+            return
         elif members.put(endpoint):
             state = endpoint.state.value
         else:
@@ -86,6 +91,24 @@
             revision=item.revision,
         )
 
+    def _is_intruder(self, endpoint: directory.KnownEndpoint) -> bool:
+        """Return whether an entry of an unknown service names a known address.
+
+        Addresses are used again by endpoints of other services, but only of those that
+        the configuration names. Other entries must not take the place of an endpoint.
+        """
+        table = self.agent.front.table
+        current = self.agent.members.endpoints_by_host.get(endpoint.host)
+        if table is None or current is None:
+            return False
+        if current.endpoint_id == endpoint.endpoint_id:
+            return False
+        return not (
+            endpoint.service in table.services
+            or endpoint.service in table.health_paths_by_service
+            or endpoint.service == self._settings.agent.service
+        )
+
     def _decode_endpoint(self, item: messages.PublishedItem):
         settings = self._settings
         try:
@@ -134,6 +157,10 @@
         events.emit(events.Event.SETTINGS_RELOADED, changed=changed)
 
 
+def _application_order(item: messages.PublishedItem) -> tuple[bool, int]:
+    return (item.key != documents.CONFIGURATION_KEY, item.revision)
+
+
 def _file_stamp(path: pathlib.Path) -> tuple[int, int]:
     try:
         status = path.stat()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -113,6 +113,31 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("service", ["nobody", "records"])
+def test_an_entry_of_an_unknown_service_takes_the_place_of_no_endpoint(
+    tmp_path, service
+):
+    """Addresses are used again, but only by services that the configuration names."""
+    good = test_platform.make_item("servers/i-good", GOOD_ENTRY)
+    other = test_platform.make_item(
+        "servers/i-other", GOOD_ENTRY | {"service": service}
+    )
+    configuration = test_platform.make_item("op/config", test_platform.CONFIGURATION)
+
+    async def main():
+        adapter = make_adapter(tmp_path)
+        items = [
+            dataclasses.replace(good, revision=1),
+            dataclasses.replace(other, revision=2),
+            dataclasses.replace(configuration, revision=3),
+        ]
+        adapter.agent.replica.apply(items, 3)
+        expected = {"nobody": ["i-good"], "records": ["i-other"]}[service]
+        assert list(adapter.agent.members.endpoints_by_id) == expected
+
+    asyncio.run(main())
+
+
 class NestedHandler(http.server.BaseHTTPRequestHandler):
     """Answers each request with a deeply nested document."""
 
