--- a/soak/callers.py
+++ b/soak/callers.py
@@ -47,10 +47,13 @@
 # Share of requests whose caller reads nothing at first, and for how long.
 SLOW_READ_SHARE = 0.1
 SLOW_READ_S = 1.4
+# Interval at which such a caller checks whether its connection has ended, in s.
+POLL_INTERVAL_S = 0.02
 
 
 @dataclasses.dataclass(slots=True)
 class _Connection:
+    stream: asyncio.StreamReader
     reader: http.MessageReader
     writer: asyncio.StreamWriter
     boot: int
@@ -155,7 +158,7 @@
         # The daemon is down; the caller tries again with its next request.
         return None
     message_reader = http.MessageReader(reader, httptools.HttpResponseParser)
-    return _Connection(message_reader, writer, boot)
+    return _Connection(reader, message_reader, writer, boot)
 
 
 async def _send_all(
@@ -172,7 +175,7 @@
         try:
             async with asyncio.timeout_at(limit):
                 if not abandons and rng is not None:
-                    await _pause_reading(rng)
+                    await _pause_reading(connection.stream, history, rng)
                 response = await connection.reader.read()
         except TimeoutError:
             _record_abandonment(batch[index:], history)
@@ -194,11 +197,19 @@
     return True
 
 
-async def _pause_reading(rng: random.Random) -> None:
-    """Read slowly now and then, so that responses wait in the daemon."""
-    if rng.random() < SLOW_READ_SHARE:
-        # The stream stops to receive once its buffer is full.
-        await asyncio.sleep(SLOW_READ_S)
+async def _pause_reading(
+    stream: asyncio.StreamReader, history: records.History, rng: random.Random
+) -> None:
+    """Read slowly now and then, so that responses wait in the daemon.
+
+    The stream stops to receive once its buffer is full. If the connection ends, that is
+    noticed at once.
+    """
+    if rng.random() >= SLOW_READ_SHARE:
+        return
+    until = history.now + SLOW_READ_S
+    while history.now < until and not stream.at_eof() and stream.exception() is None:
+        await asyncio.sleep(POLL_INTERVAL_S)
 
 
 def _send(
