Let callers of the threaded path receive their last response whole

Change: behind its last response a connection closes its sending side, and discards what comes until the caller has received everything and closed, for 5 s at most, 1 s of them with nothing left to receive. While the server stops, connections are closed by the thread that answered, in this way, and not by cheroot's own end.

--- a/src/savoryhollow/webserver.py
+++ b/src/savoryhollow/webserver.py
@@ -12,10 +12,12 @@
 import socket
 import sys
 import threading
+import time
 
 import cheroot.server
 
 from savoryhollow import calls, errors
+from savoryhollow.http1 import tcp_info
 
 __all__ = ["HttpRequest", "HttpResponse", "WebServer"]
 
@@ -25,6 +27,13 @@
 IDLE_TIMEOUT_S = 60.0
 # Time for which a thread waits for the next request on a connection, in ms.
 NEXT_REQUEST_WAIT_MS = 50
+# Time for a caller to receive the last response of its connection and to close its
+# side, and for the latter alone, in s.
+CLOSE_TIMEOUT_S = 5.0
+PEER_CLOSE_TIMEOUT_S = 1.0
+# Interval between checks of what the caller has received, in s.
+CLOSE_CHECK_INTERVAL_S = 0.25
+DISCARDED_BYTES = 1 << 16
 # Maximum number of connections waiting to be accepted.
 BACKLOG = 512
 
@@ -220,6 +229,7 @@
         super().__init__(server, sock, _make_file)
         self._poll = select.poll()
         self._poll.register(sock, select.POLLIN)
+        self._has_last_response = False
 
     def communicate(self) -> bool:
         """Serve the requests of a connection while they follow each other closely.
@@ -228,10 +238,46 @@
         request, which costs the next request two switches between threads.
         """
         while super().communicate():
-            if not self._next_request_arrives():
+            if self._next_request_arrives():
+                continue
+            if self.server.ready:
                 return True
+            # The server is stopping, and closes the connections that it keeps.
+            break
+        self._has_last_response = True
         return False
 
+    def _close_kernel_socket(self) -> None:
+        """Close the socket once the caller has received the last response.
+
+        A socket that is closed with received data unread is reset, which drops the end
+        of the response.
+        """
+        if self._has_last_response:
+            try:
+                self._await_receipt()
+            except OSError:
+                # The caller has closed or reset the connection.
+                pass
+        super()._close_kernel_socket()
+
+    def _await_receipt(self) -> None:
+        """Discard what the caller sends until it has received everything and closed.
+
+        :raises OSError: if the connection is lost.
+        """
+        self.socket.shutdown(socket.SHUT_WR)
+        self.socket.settimeout(CLOSE_CHECK_INTERVAL_S)
+        deadline = time.monotonic() + CLOSE_TIMEOUT_S
+        while time.monotonic() < deadline:
+            if not tcp_info.unconfirmed_bytes(self.socket):
+                deadline = min(deadline, time.monotonic() + PEER_CLOSE_TIMEOUT_S)
+            try:
+                if not self.socket.recv(DISCARDED_BYTES):
+                    return
+            except TimeoutError:
+                continue
+
     def _next_request_arrives(self) -> bool:
         if self.rfile.has_data():
             return True
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,6 +2,8 @@
 
 import random
 import socket
+import threading
+import time
 
 import hypothesis
 import pytest
@@ -107,3 +109,43 @@
     )[1]
     send(server, VALID[:-1])
     assert handled_requests == []
+
+
+# ---------------------------------------------------------------------------
+#   Closed connections
+# ---------------------------------------------------------------------------
+
+LONG_BODY = 8_000_000 * b"r"
+
+
+@pytest.mark.parametrize("stops", [False, True], ids=["asks to close", "stop"])
+def test_a_caller_that_sends_on_gets_the_whole_response_before_it_is_closed(stops):
+    """A socket that is closed with data unread is reset; the response lost its end."""
+    server = webserver.WebServer(
+        "127.0.0.1",
+        0,
+        2,
+        100,
+        lambda request: webserver.HttpResponse(200, (), LONG_BODY),
+    )
+    server.start()
+    stopping = threading.Thread(target=server.stop)
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        caller.connect(("127.0.0.1", server.port))
+        caller.settimeout(20)
+        ending = "" if stops else "Connection: close\r\n"
+        caller.sendall(f"GET /a HTTP/1.1\r\nHost: x\r\n{ending}\r\n".encode())
+        received = caller.recv(1)
+        if stops:
+            stopping.start()
+            time.sleep(0.1)
+        caller.sendall(b"GET /more HTTP/1.1\r\nHost: x\r\n\r\n")
+        while len(received) < len(LONG_BODY):
+            data = caller.recv(1 << 16)
+            assert data, f"the connection ended after {len(received)} bytes"
+            received += data
+    if not stops:
+        stopping.start()
+    stopping.join(20)
+    assert received.startswith(b"HTTP/1.1 200 ")
