Let the gate of the threaded path follow the list of instances

The gate didn't know its own entry at all.

Change: after each change of the list the daemon tells its gate whether its backend server leaves or is gone. The gate then refuses waiting and new calls, until the list names it as live again; once the process stops, nothing opens it.

Evidence: three new tests in tests/test_gate.py and tests/test_library.py; as found there was nothing that they could have called, and a waiting call was run after any list.

--- a/src/savoryhollow/admission/gate.py
+++ b/src/savoryhollow/admission/gate.py
@@ -61,6 +61,7 @@
         self._waiters_by_id: dict[str, _Waiter] = {}
         self._idle = threading.Condition(self._lock)
         self._in_progress = 0
+        self._stopping = False
         self.leaving = False
 
     # -----------------------------------------------------------------------
@@ -302,10 +303,27 @@
         )
 
     def leave(self) -> None:
-        """Refuse all new calls from now on."""
+        """Refuse all new calls from now on, as the process stops."""
         with self._lock:
+            self._stopping = True
             self.leaving = True
 
+    def follow_list(self, has_left: bool) -> None:
+        """Refuse waiting and new calls while the backend server has left.
+
+        Calls that run are finished. Nothing changes once the process stops.
+
+        :param has_left: whether the list says that the backend server leaves, or no
+            longer names it.
+        """
+        with self._lock:
+            if self._stopping:
+                return
+            self.leaving = has_left
+            waiting = list(self._waiters_by_id) if has_left else []
+        for request_id in waiting:
+            self._withdraw(request_id, calls.NotRunReason.LEAVING)
+
     def drain(self, deadline: float) -> bool:
         """Refuse new calls and wait until those in progress have ended.
 
@@ -313,6 +331,7 @@
         :returns: True if all calls have ended.
         """
         with self._lock:
+            self._stopping = True
             self.leaving = True
             while self._in_progress:
                 if not self._idle.wait(deadline - time.monotonic()):
--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -57,6 +57,7 @@
         self.placements = placements.PlacementLog(settings.placement_records)
         self.runs = runs.RunLog(settings.placement_records)
         self.requests = requests.RequestTotals()
+        self._was_listed = False
         self.lag_meter = process_stats.LagMeter()
         hello = messages.HelloMessage(
             messages.PROTOCOL_VERSION, settings.endpoint_id, self.incarnation
@@ -156,7 +157,12 @@
             settings.endpoint_id, settings.region, settings.zone
         )
         self.follower = following.Follower(
-            location, self.store, hello, self.members, self._configure
+            location,
+            self.store,
+            hello,
+            self.members,
+            self._configure,
+            self._follow_list,
         )
 
     def _build_servers(self, hello: messages.HelloMessage) -> None:
@@ -202,6 +208,19 @@
             return answer
         return self.gate.answer_control_message(message, connection)
 
+    def _follow_list(self) -> None:
+        """Close the gate while the local backend server leaves or is gone.
+
+        One that isn't listed yet gets requests: its routers may know more.
+        """
+        settings = self.settings
+        for endpoint in self.members.endpoints(settings.service):
+            if endpoint.endpoint_id == settings.endpoint_id:
+                self._was_listed = True
+                self.gate.follow_list(endpoint.state is table.EndpointState.LEAVING)
+                return
+        self.gate.follow_list(self._was_listed)
+
     def _configure(self, configuration: models.Configuration) -> None:
         self.link_budgets.configure(configuration, time.monotonic())
         self._limited_route.configure(configuration)
--- a/src/savoryhollow/store/following.py
+++ b/src/savoryhollow/store/following.py
@@ -1,5 +1,6 @@
 """Keep the configuration and the list of instances of one process up to date."""
 
+import collections.abc
 import time
 
 from savoryhollow import errors
@@ -30,6 +31,7 @@
     :param hello: the hello message of this process.
     :param members: the table of endpoints to update.
     :param apply: called with each accepted configuration.
+    :param on_list: called after each change of the endpoints.
     """
 
     def __init__(
@@ -39,10 +41,12 @@
         hello: messages.HelloMessage,
         members: table.MemberTable,
         apply,
+        on_list: collections.abc.Callable[[], None] = lambda: None,
     ):
         self._location = location
         self._members = members
         self._apply = apply
+        self._on_list = on_list
         self._list_topic = publications.list_topic(location.region)
         self._is_reader = False
         self._neighbours: tuple[table.Endpoint, ...] = ()
@@ -100,6 +104,7 @@
             )
             raise errors.ConfigurationError([problem])
         self._members.replace(document.version.revision, document.texts_by_name)
+        self._on_list()
 
     # -----------------------------------------------------------------------
     #   Topology
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -177,6 +177,29 @@
     assert drained == [True]
 
 
+def test_what_waits_at_the_gate_of_a_backend_server_that_left_is_refused(gate, backend):
+    """It used to be run, however long ago the list had dropped its backend server."""
+    holder = hold_slot(gate, backend)
+    waiting = ServeThread(gate, "waiting")
+    wait_until(lambda: gate.report().queued == 1)
+    gate.follow_list(has_left=True)
+    assert waiting.wait_for_answer().reason is calls.NotRunReason.LEAVING
+    refused = gate.serve(make_call("new", "urgent"))
+    assert refused.reason is calls.NotRunReason.LEAVING
+    backend.go.set()
+    assert holder.wait_for_answer().body == b"holder"
+    assert backend.ran == ["holder"]
+    gate.follow_list(has_left=False)
+    assert gate.serve(make_call("next", "urgent")).body == b"next"
+
+
+def test_a_gate_that_stops_is_not_opened_by_a_list(gate):
+    gate.leave()
+    gate.follow_list(has_left=False)
+    refused = gate.serve(make_call("new", "urgent"))
+    assert refused.reason is calls.NotRunReason.LEAVING
+
+
 def test_additional_slots_admit_waiting_requests(gate, backend):
     hold_slot(gate, backend)
     waiting = ServeThread(gate, "waiting")
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -4,10 +4,12 @@
 import time
 
 import pytest
+import test_membership
 
 from emulator import deployment, plans
 from savoryhollow import calls, errors, library
 from savoryhollow.backend import client
+from savoryhollow.daemon import assembly
 from savoryhollow.settings import models
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -104,6 +106,39 @@
     assert capsys.readouterr().out.startswith("served by dispatch-")
 
 
+def test_the_gate_follows_what_the_list_says_of_its_backend_server():
+    host = "127.0.0.1"
+    any_port = models.Address(host, 0)
+    settings = models.DaemonSettings(
+        endpoint_id="dispatch-0",
+        service="dispatch",
+        region="east",
+        zone="east-a",
+        front=any_port,
+        inner=any_port,
+        operator=any_port,
+        backend=models.Target(host, 1),
+        store=models.Target(host, 1),
+    )
+    daemon = assembly.Daemon(settings)
+    other = test_membership.instance("dispatch", 1)
+    leaving = []
+    for instances in (
+        [other],
+        [other, test_membership.instance("dispatch", 0)],
+        [other, test_membership.instance("dispatch", 0, "leaving")],
+        [other, test_membership.instance("dispatch", 0)],
+        [other],
+    ):
+        listing = test_membership.listing(len(leaving), *instances)
+        daemon.members.update(listing)
+        daemon._follow_list()
+        leaving.append(daemon.gate.leaving)
+    # A backend server that was never listed gets requests.
+    assert leaving == [False, False, True, False, True]
+    daemon.stop()
+
+
 def test_a_python_backend_server_runs_its_own_gate(running_deployment, store):
     executed_ids = []
 
