Watch the exit status of each stopped daemon in the soak

After SIGTERM a daemon must end with 0 or 1; any other status, such as that of a signal or of an exception, is a violation, unless the process was younger than 1 s or was killed. Until now any status passed.

--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -16,6 +16,10 @@
 RESTART_DELAY_S = 0.3
 # Until the daemon has installed its handler, SIGHUP ends the Python process.
 MIN_SIGHUP_AGE_S = 0.3
+# The same holds for SIGTERM; a busy machine takes longer.
+MIN_SIGTERM_AGE_S = 1.0
+# Exit statuses after SIGTERM: all requests had ended, or not.
+STOPPED_STATUSES = (0, 1)
 POLL_INTERVAL_S = 0.1
 # Log events that report an internal error of the daemon.
 FAILURE_EVENTS = ("thread_failed",)
@@ -45,6 +49,7 @@
         self._log_path = folder / f"{spec.name}.log"
         self._process: subprocess.Popen | None = None
         self._expects_exit = False
+        self._allows_any_status = False
         self._started_at = 0.0
         self._supervisor: asyncio.Task[None] | None = None
 
@@ -69,11 +74,11 @@
         """
         if self._process is None or self._process.poll() is not None:
             return
-        if (
-            number is signal.SIGHUP
-            and self._history.now < self._started_at + MIN_SIGHUP_AGE_S
-        ):
+        age_s = self._history.now - self._started_at
+        if number is signal.SIGHUP and age_s < MIN_SIGHUP_AGE_S:
             return
+        if number is signal.SIGKILL or age_s < MIN_SIGTERM_AGE_S:
+            self._allows_any_status = True
         if number in (signal.SIGTERM, signal.SIGKILL):
             self._expects_exit = True
         self._process.send_signal(number)
@@ -126,6 +131,7 @@
         self.boot_count += 1
         self._started_at = self._history.now
         self._expects_exit = False
+        self._allows_any_status = False
         environment = os.environ | {"SAVORYHOLLOW_BOOT": str(self._settings_path)}
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
@@ -142,7 +148,10 @@
             status = None if self._process is None else self._process.poll()
             if status is None:
                 continue
-            if not self._expects_exit:
+            is_expected = self._expects_exit and (
+                self._allows_any_status or status in STOPPED_STATUSES
+            )
+            if not is_expected:
                 self._history.violations.append(
                     f"the daemon of {self.spec.name} exited unexpectedly: {status}"
                 )
