--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -45,22 +45,33 @@
         self.run_ids = []
 
     async def serve(self, reader, writer):
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                request_id = head.partition(f"{DIALECT.request_id}: ")[2].split("\r")[0]
-                lines = [f"{DIALECT.endpoint_id}: e1"]
-                if request_id:
-                    self.run_ids.append(request_id)
-                    await asyncio.sleep(RUN_S)
-                    lines += [f"{DIALECT.request_id}: {request_id}"]
-                    lines += [f"{DIALECT.signature}: s"]
-                head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Content-Length: 2"])
-                writer.write(head.encode() + b"\r\n\r\nok")
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return
-        finally:
-            writer.close()
+        await serve_requests(reader, writer, self._run)
+
+    async def _run(self, request_id, fields):
+        self.run_ids.append(request_id)
+        await asyncio.sleep(RUN_S)
+
+
+async def serve_requests(reader, writer, run):
+    """Answer requests on a connection; probes, which have no id, aren't run."""
+    try:
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            fields = dict(
+                line.split(": ", 1) for line in head.split("\r\n")[1:] if line
+            )
+            lines = [f"{DIALECT.endpoint_id}: e1"]
+            request_id = fields.get(DIALECT.request_id)
+            if request_id is not None:
+                await run(request_id, fields)
+                lines += [f"{DIALECT.request_id}: {request_id}"]
+                lines += [f"{DIALECT.signature}: s"]
+            head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Content-Length: 2"])
+            writer.write(head.encode() + b"\r\n\r\nok")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return
+    finally:
+        writer.close()
 
 
 class Caller:
@@ -179,25 +190,11 @@
         self.released = asyncio.Event()
 
     async def serve(self, reader, writer):
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                fields = dict(
-                    line.split(": ", 1) for line in head.split("\r\n")[1:] if line
-                )
-                request_id = fields.get(DIALECT.request_id)
-                lines = [f"{DIALECT.endpoint_id}: e1"]
-                if request_id is not None:
-                    self.timeouts_ms.append(int(fields[DIALECT.deadline_ms]))
-                    await self.released.wait()
-                    lines += [f"{DIALECT.request_id}: {request_id}"]
-                    lines += [f"{DIALECT.signature}: s"]
-                head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "Content-Length: 2"])
-                writer.write(head.encode() + b"\r\n\r\nok")
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return
-        finally:
-            writer.close()
+        await serve_requests(reader, writer, self._run)
+
+    async def _run(self, request_id, fields):
+        self.timeouts_ms.append(int(fields[DIALECT.deadline_ms]))
+        await self.released.wait()
 
 
 class StoppingWorld:
