Inject long bodies and reused addresses into the soak

Some callers' bodies have 3 MB, a daemon may use 100 MB, and one that uses more is a violation and is killed. Three in ten crashes of a backend server lose the whole instance, whose address goes to the other service 2.05 s later; the settings name it just before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -37,6 +37,10 @@
 # A caller closes its connection if there is no response this long after the deadline.
 CLOSE_DELAY_S = 1.0
 NESTED_CALL_TIMEOUT_S = 0.6
+# Lengths of most bodies, and of the few that take much of a daemon's memory, in bytes.
+BODY_BYTES = (20, 3000)
+LONG_BODY_BYTES = 3_000_000
+LONG_BODY_SHARE = 0.03
 # Requests that a caller sends before it waits for the first response.
 PIPELINE_DEPTH = 3
 PAUSE_S = 0.15
@@ -95,7 +99,9 @@
             path, method = self._rng.choice(prefixes), "GET"
         body = b""
         if method == "POST":
-            body = self._rng.randbytes(self._rng.choice((20, 3000)))
+            is_long = self._rng.random() < LONG_BODY_SHARE
+            length = LONG_BODY_BYTES if is_long else self._rng.choice(BODY_BYTES)
+            body = self._rng.randbytes(length)
         return _make_sent(self._spec, self._rng, path, method, body, TIMEOUT_S)
 
     # -----------------------------------------------------------------------
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -147,6 +147,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
             status = None if self._process is None else self._process.poll()
             if status is None:
+                self._check_memory()
                 continue
             is_expected = self._expects_exit and (
                 self._allows_any_status or status in STOPPED_STATUSES
@@ -158,6 +159,21 @@
             await asyncio.sleep(RESTART_DELAY_S)
             self._launch()
 
+    def _check_memory(self) -> None:
+        """End the process if it uses more memory than it may, as a platform does."""
+        assert self._process is not None
+        try:
+            text = pathlib.Path(f"/proc/{self._process.pid}/statm").read_text()
+        except OSError:
+            # It has just ended.
+            return
+        used_bytes = int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE")
+        if used_bytes > layout.MEMORY_MB << 20:
+            self._history.violations.append(
+                f"the daemon of {self.spec.name} uses {used_bytes >> 20} MB"
+            )
+            self.signal(signal.SIGKILL)
+
 
 def _settings_text(spec: layout.InstanceSpec, seeds: list[layout.InstanceSpec]) -> str:
     bounds = layout.BOUNDS
@@ -187,6 +203,8 @@
 inbound = "{spec.listen_ip}:{layout.INNER_PORT}"
 outbound = "{spec.listen_ip}:{layout.FRONT_PORT}"
 ready = "{spec.listen_ip}:{layout.READINESS_PORT}"
+[limits]
+memory_mb = {layout.MEMORY_MB}
 [platform]
 address = "{spec.store_ip}:{layout.STORE_PORT}"
 """
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -65,6 +65,15 @@
         )
         self.generation = 0
 
+    def change_service(self) -> None:
+        """Give the address of the backend server to the other service.
+
+        The settings of the daemon name it at once.
+        """
+        first, second = layout.SERVICES
+        self.spec.service = second if self.spec.service == first else first
+        self.daemon.write_settings()
+
     def new_endpoint_id(self) -> str:
         """Return an endpoint id that hasn't been used before."""
         self.generation += 1
@@ -252,7 +261,7 @@
         "version": version,
         "limits": {
             "max_header_bytes": 16384,
-            "max_body_bytes": 1 << 20,
+            "max_body_bytes": 8 << 20,
             "header_timeout_s": 3,
             "idle_timeout_s": 15,
         },
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,12 @@
 # replacement starts after a delay.
 DRAIN_TIME_S = layout.BOUNDS.drain_s + 0.7
 REPLACEMENT_DELAY_S = 0.3
+# Share of crashes after which the address goes to the other service, the delay of that,
+# the time until the new entry is written, and the lifetime of the former one.
+REUSED_ADDRESS_SHARE = 0.3
+REUSE_DELAY_S = 0.05
+REGISTRATION_DELAY_S = 0.8
+ENTRY_LIFETIME_S = 4.5
 # Share of planned replacements in which draining is never reported.
 UNREPORTED_DRAIN_SHARE = 0.4
 # Time that still counts as disturbed after a fault, and after a daemon is killed.
@@ -218,6 +224,9 @@
 async def _crash_backend(deployment, instance, step) -> None:
     if not instance.backend.is_up:
         return
+    if step.strength < REUSED_ADDRESS_SHARE:
+        await _reuse_address(deployment, instance, step)
+        return
     deployment.history.record_disturbance(step.kind, None, step.duration_s + 1.0)
     key = deployment.entry_key(instance)
     instance.backend.stop()
@@ -231,6 +240,26 @@
     deployment.register(instance)
 
 
+async def _reuse_address(deployment, instance, step) -> None:
+    """Lose an instance, and give its address to the other service soon after."""
+    reuse_s = layout.BOUNDS.address_reuse_s + REUSE_DELAY_S
+    deployment.history.record_disturbance(
+        step.kind, None, reuse_s + REGISTRATION_DELAY_S + ENTRY_LIFETIME_S
+    )
+    former_key = deployment.entry_key(instance)
+    instance.daemon.signal(signal.SIGKILL)
+    instance.backend.stop()
+    await asyncio.sleep(reuse_s)
+    if instance.backend.is_up:
+        return
+    instance.change_service()
+    await instance.backend.start(instance.new_endpoint_id())
+    await asyncio.sleep(REGISTRATION_DELAY_S)
+    deployment.register(instance)
+    await asyncio.sleep(ENTRY_LIFETIME_S - reuse_s)
+    deployment.store.remove(former_key)
+
+
 # ---------------------------------------------------------------------------
 #   The store
 # ---------------------------------------------------------------------------
--- a/soak/layout.py
+++ b/soak/layout.py
@@ -20,6 +20,8 @@
 STORE_PORT = 7505
 METRICS_PORT = 9464
 LOCK_PORT = 7599
+# Memory that a daemon may use, in MB.
+MEMORY_MB = 100
 # Third octet of the IP addresses.
 PUBLISHED_OCTET = 0
 LISTEN_OCTET = 1
@@ -50,6 +52,8 @@
     :param retry_ratio: the number of retries allowed per request.
     :param retry_slack: the number of retries allowed per window in addition.
     :param retry_window_s: the length of the window.
+    :param address_reuse_s: the time after which the address of an endpoint that has
+        ended may belong to another one.
     :param recovery_s: how long daemons may take to serve requests again after the
         last fault.
     """
@@ -65,6 +69,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 10.0
     retry_window_s: float = 10.0
+    address_reuse_s: float = 2.0
     recovery_s: float = 15.0
 
 
