Let no pause of a soak's caller count against the daemon

By the logs the daemon had answered it after 0.18 s; the caller, which sent it behind two others, had paused for the first response and left 0.1 s after it, when the deadline was over. A caller now leaves early or pauses only within the deadline of the request that it waits for.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -174,14 +174,15 @@
     for sent in batch:
         _send(connection, sent, history)
     for index, sent in enumerate(batch):
+        abandons_at = history.now + ABANDON_AFTER_S
         abandons = rng is not None and rng.random() < ABANDON_SHARE
-        limit = (
-            history.now + ABANDON_AFTER_S if abandons else sent.deadline + CLOSE_DELAY_S
-        )
+        # A caller that has paused may be too late to leave early.
+        abandons = abandons and abandons_at < sent.deadline
+        limit = abandons_at if abandons else sent.deadline + CLOSE_DELAY_S
         try:
             async with asyncio.timeout_at(limit):
                 if not abandons and rng is not None:
-                    await _pause_reading(connection.stream, history, rng)
+                    await _pause_reading(connection.stream, sent, history, rng)
                 response = await connection.reader.read()
         except TimeoutError:
             _record_abandonment(batch[index:], history)
@@ -204,16 +205,19 @@
 
 
 async def _pause_reading(
-    stream: asyncio.StreamReader, history: records.History, rng: random.Random
+    stream: asyncio.StreamReader,
+    sent: records.Sent,
+    history: records.History,
+    rng: random.Random,
 ) -> None:
-    """Read slowly now and then, so that responses wait in the daemon.
+    """Read slowly now and then, within the deadline, so that responses wait.
 
     The stream stops to receive once its buffer is full. If the connection ends, that is
     noticed at once.
     """
-    if rng.random() >= SLOW_READ_SHARE:
-        return
     until = history.now + SLOW_READ_S
+    if rng.random() >= SLOW_READ_SHARE or until >= sent.deadline:
+        return
     while history.now < until and not stream.at_eof() and stream.exception() is None:
         await asyncio.sleep(POLL_INTERVAL_S)
 
