Let a restarted reader hide no removal from its followers

The daemons of one region never learned of the removal.

Cause: a daemon that starts as a reader knows a list of what is left and no removals. Followers merged its first update as changes and took its revision for complete, so they never asked for the removal before it. Any replica that has applied a list, or has dropped old removals, told the same half truth.

Change: a replica remembers up to which revision it may not know removals. An update for a follower behind that is marked as a complete list, and what it lacks is dropped there unless it is newer.

--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -44,6 +44,10 @@
 # dropped. Removals are kept so that an older update doesn't bring an item back.
 MAX_ITEMS = 4096
 
+# Takes the place of the revision since which an update has all changes if the update is
+# a complete list: an item that it doesn't contain is gone.
+COMPLETE_LIST = -2
+
 Item = messages.PublishedItem
 
 
@@ -77,6 +81,8 @@
         self._waiting_since: float | None = None
         self._reported_contact: bool | None = None
         self._last_sent_revision = -1
+        # Removals up to this revision may be unknown, as a list has only what is left.
+        self._removals_known_since = -1
         self.as_of = -1
         self.confirmed_at = float("-inf")
         self.confirmed_at_by_source: dict[str, float] = {}
@@ -107,6 +113,8 @@
 
         :param as_of: the revision of the list.
         """
+        if as_of > self.as_of:
+            self._removals_known_since = as_of
         present_keys = {item.key for item in items}
         gone = [
             Item(key, as_of, None)
@@ -152,6 +160,7 @@
         removals.sort(key=lambda item: item.revision)
         for item in removals[: len(removals) // 2]:
             del self._items_by_key[item.key]
+            self._removals_known_since = max(self._removals_known_since, item.revision)
 
     # -----------------------------------------------------------------------
     #   Following
@@ -168,7 +177,8 @@
         """
         self._has_received = True
         self.source = source
-        is_complete = message.since <= self.as_of
+        is_list = message.since == COMPLETE_LIST
+        is_complete = is_list or message.since <= self.as_of
         if message.confirmed_age_us is not None:
             confirmed_at = now - message.confirmed_age_us / 1e6
             self.confirmed_at_by_source[source] = confirmed_at
@@ -176,7 +186,11 @@
                 self.confirm(confirmed_at)
         if is_complete and message.as_of > self.as_of:
             self._next_request_at = float("-inf")
-        self.apply(list(message.items), message.as_of if is_complete else self.as_of)
+        items = list(message.items)
+        if is_list:
+            self.apply_snapshot(items, message.as_of)
+        else:
+            self.apply(items, message.as_of if is_complete else self.as_of)
         if math.isfinite(self.confirmed_at):
             self._report_contact(self.is_fresh(now))
         return is_complete or not self._claim_request(now)
@@ -224,7 +238,12 @@
         return not self._has_received and waited_s < FIRST_MESSAGE_WAIT_S
 
     def message_since(self, revision: int, now: float) -> messages.ItemsMessage:
-        """Return the update for a follower whose replica is complete to a revision."""
+        """Return the update for a follower whose replica is complete to a revision.
+
+        It is a complete list if this replica doesn't know all removals since then.
+        """
+        if revision < self._removals_known_since:
+            revision = COMPLETE_LIST
         age_s = self.confirmed_age_s(now)
         age_us = int(1e6 * age_s) if math.isfinite(age_s) else None
         items = [
--- a/tests/test_relay_items.py
+++ b/tests/test_relay_items.py
@@ -1,6 +1,7 @@
 """Tests of the replica that readers and followers keep of the published items."""
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from savoryhollow.proxy import relay
@@ -257,3 +258,71 @@
     answer = reader.message_since(follower.as_of, 0.0)
     assert pushed == []
     assert [one.revision for one in answer.items] == [8]
+
+
+# ---------------------------------------------------------------------------
+#   Removals that a new reader doesn't know
+# ---------------------------------------------------------------------------
+
+
+def make_pair():
+    """Return a follower that knows two items, and a reader that has just started.
+
+    The reader's list lacks an item that was removed before it started.
+    """
+    follower = relay.Replica(lambda items: None, lambda in_contact: None)
+    follower.apply_snapshot(
+        [relay.Item("kept", 1, b"x"), relay.Item("removed", 2, b"y")], 2
+    )
+    reader = relay.Replica(lambda items: None, lambda in_contact: None)
+    reader.apply_snapshot([relay.Item("kept", 1, b"x")], 3)
+    return follower, reader
+
+
+@pytest.mark.parametrize("asks", [False, True], ids=["pushed", "asked for"])
+def test_an_update_of_a_new_reader_hides_no_removal(asks):
+    """Its followers went on using an endpoint that had left (soak seed 502)."""
+    follower, reader = make_pair()
+    message = reader.message_since(follower.as_of, 0.0) if asks else None
+    follower.receive(message or reader.next_update(0.0), 0.0)
+    assert follower.as_of == 3
+    assert follower._items_by_key["removed"].content is None
+    assert follower._items_by_key["kept"].content == b"x"
+
+
+def test_a_follower_passes_on_what_it_learned_from_a_list():
+    follower, reader = make_pair()
+    middle = relay.Replica(lambda items: None, lambda in_contact: None)
+    middle.receive(reader.next_update(0.0), 0.0)
+    follower.receive(middle.message_since(follower.as_of, 0.0), 0.0)
+    assert follower._items_by_key["removed"].content is None
+
+
+def test_an_older_list_removes_nothing_that_is_newer():
+    follower, reader = make_pair()
+    follower.apply([relay.Item("new", 5, b"z")], 5)
+    follower.receive(reader.next_update(0.0), 0.0)
+    assert follower.as_of == 5
+    assert follower._items_by_key["new"].content == b"z"
+
+
+def test_an_update_since_a_list_has_only_what_changed():
+    follower, reader = make_pair()
+    follower.receive(reader.next_update(0.0), 0.0)
+    reader.apply([relay.Item("later", 4, b"z")], 4)
+    message = reader.message_since(follower.as_of, 0.0)
+    assert [item.key for item in message.items] == ["later"]
+
+
+def test_dropped_removals_are_made_up_for_by_a_complete_list(monkeypatch):
+    monkeypatch.setattr(relay, "MAX_ITEMS", 4)
+    follower = relay.Replica(lambda items: None, lambda in_contact: None)
+    follower.apply([relay.Item(f"k{n}", n, b"x") for n in range(1, 5)], 4)
+    reader = relay.Replica(lambda items: None, lambda in_contact: None)
+    reader.apply([relay.Item(f"k{n}", n, b"x") for n in range(1, 5)], 4)
+    reader.apply([relay.Item(f"k{n}", n + 4, None) for n in range(1, 5)], 8)
+    reader.apply([relay.Item("new", 9, b"x")], 9)
+    assert len(reader._items_by_key) < 5
+    follower.receive(reader.message_since(4, 0.0), 0.0)
+    left = [k for k, item in follower._items_by_key.items() if item.content is not None]
+    assert left == ["new"]
