--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -116,13 +116,15 @@
 def test_a_caller_that_leaves_gives_its_place_to_the_next():
     async def main():
         async with serving() as (server, recorder):
-            first, waiting, last = [
-                asyncio.create_task(upload(server, LONG)) for _ in range(3)
-            ]
-            await test_http1.wait_until(lambda: len(server.connections) == 4)
+            budget = server.body_budget
+            first = asyncio.create_task(upload(server, LONG))
             await test_http1.wait_until(lambda: recorder.lengths)
+            waiting = asyncio.create_task(upload(server, LONG))
+            await test_http1.wait_until(lambda: len(budget._waiting) == 1)
+            last = asyncio.create_task(upload(server, LONG))
+            await test_http1.wait_until(lambda: len(budget._waiting) == 2)
             waiting.cancel()
-            await asyncio.sleep(0.05)
+            await test_http1.wait_until(lambda: len(budget._waiting) == 1)
             first.cancel()
             await test_http1.wait_until(lambda: len(recorder.lengths) == 2)
             recorder.released.release()
