Send nothing to a backend server that left while a connection was opened

Callers saw nothing of it; the operator of a backend server that leaves could see requests reach it up to a second after its daemon knew that it leaves (DRAIN), and callers of such requests could lose them when it ended.

Cause: the gate looks whether the backend server leaves when it grants a slot. A connection may still have to be opened then, for up to CONNECT_TIMEOUT_S. If the entry was set to draining or removed, or the settings named another address in that time, the request was sent all the same. The list may be up to 2.1 s late when both readers of a region are away, so that second can exceed the bound of 2.5 s.

The runner now looks once more between the last wait and the first byte. Nothing has been sent then, so "not run" is true and the router tries another endpoint.

--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -105,6 +105,7 @@
             self.gate, self._inner_port, self._clock
         )
         self.runner.on_load = self._reporter.handle_load
+        self.runner.may_send = lambda: not self.gate.leaving
         self._tasks: list[asyncio.Task[None]] = []
 
     def _build_inner_port(self) -> inner.InnerPort:
--- a/src/savoryhollow/proxy/backend_runner.py
+++ b/src/savoryhollow/proxy/backend_runner.py
@@ -60,7 +60,8 @@
     :param dialect: the HTTP header names that the platform uses.
     :param pool: the connections to the backend server.
 
-    ``on_load`` is called whenever the backend server has reported its load.
+    ``on_load`` is called whenever the backend server has reported its load, and
+    ``may_send`` right before a request is sent: it isn't if the result is False.
     """
 
     def __init__(self, dialect: dialect_module.Dialect, pool: backends.Pool):
@@ -74,6 +75,7 @@
         self._probe_backoff_until = float("-inf")
         self._reachable: bool | None = None
         self.on_load: collections.abc.Callable[[], None] = lambda: None
+        self.may_send: collections.abc.Callable[[], bool] = lambda: True
 
     async def run(
         self, call: wire.CallMessage, deadline: float
@@ -99,6 +101,9 @@
         if now >= deadline - RESPONSE_MARGIN_S:
             pool.release(connection)
             return backend_responses.BackendResult(reason=calls.NotRunReason.DEADLINE)
+        if pool is not self.pool or not self.may_send():
+            pool.release(connection)
+            return backend_responses.BackendResult(reason=calls.NotRunReason.LEAVING)
         request = self._build_request(call, deadline - now)
         if len(request.body) > backends.BODY_PART_BYTES:
             data, body = messages.render_request_head(request), request.body
--- a/tests/test_leaving_backend.py
+++ b/tests/test_leaving_backend.py
@@ -11,7 +11,7 @@
 import pytest
 import test_agent
 
-from savoryhollow import calls
+from savoryhollow import calls, errors
 from savoryhollow.membership import directory, table
 from savoryhollow.proxy import backend_responses, gate
 from savoryhollow.settings import models
@@ -172,3 +172,82 @@
         assert world.agent.gate.report().leaving
 
     run_world(play)
+
+
+class HeldPool:
+    """Connections to a backend server that are opened once ``opened`` is set."""
+
+    host = BACKEND_HOST
+
+    def __init__(self):
+        self.clock = asyncio.get_running_loop().time
+        self.requested = asyncio.Event()
+        self.opened = asyncio.Event()
+        self.sent = []
+        self.released = []
+
+    async def acquire(self, *, reuse=True):
+        self.requested.set()
+        await self.opened.wait()
+        return self, False
+
+    async def exchange(self, data, *args, **kwargs):
+        self.sent.append(data)
+        raise errors.BackendError("never answered", started=True)
+
+    def release(self, connection):
+        self.released.append(connection)
+
+    def close(self):
+        pass
+
+
+async def serve_while_connecting(change):
+    """Return what becomes of a request if a change comes while it gets a connection."""
+    agent = test_agent.make_agent()
+    agent.runner._probe_backoff_until = float("inf")
+    agent.members.put(own_endpoint())
+    agent._apply_membership()
+    pool = agent.runner.pool = HeldPool()
+    serving = asyncio.create_task(agent.gate.serve(CALL))
+    await pool.requested.wait()
+    await change(agent)
+    pool.opened.set()
+    return pool, await serving
+
+
+@pytest.mark.parametrize("how", ["draining", "removed", "another address"])
+def test_what_waits_for_a_connection_to_a_leaving_backend_server_is_not_sent(how):
+    """It had its slot before the gate closed, and was sent up to a second later."""
+
+    async def change(agent):
+        if how == "another address":
+            await agent.reconfigure(
+                test_agent.make_settings(backend=models.Target("10.9.9.8", 9))
+            )
+        elif how == "removed":
+            agent.members.remove("e1", agent.now)
+        else:
+            agent.members.put(own_endpoint(state=table.EndpointState.LEAVING))
+        agent._apply_membership()
+
+    async def main():
+        pool, answer = await serve_while_connecting(change)
+        assert pool.sent == []
+        assert len(pool.released) == 1
+        assert isinstance(answer, messages.NotRunMessage)
+        assert answer.reason is calls.NotRunReason.LEAVING
+
+    test_agent.run_with_timeout(main)
+
+
+def test_what_waits_for_a_connection_to_a_backend_server_that_stays_is_sent():
+    async def change(agent):
+        agent.members.put(own_endpoint(revision=2))
+        agent._apply_membership()
+
+    async def main():
+        pool, _ = await serve_while_connecting(change)
+        assert len(pool.sent) == 1
+
+    test_agent.run_with_timeout(main)
