Send nothing to a backend server that left, on the threaded path either

An operator could see requests reach a backend server that had left: one that was granted its slot before the list changed and was sent once its thread went on or its connection was open, for which it had all of its remaining time; and all that waited at the gate if the process was being stopped when the list changed.

Nothing looks at the list again between the slot and the first byte. Besides, the gate ignored the list once its process stopped, although what waits is still run then.

Evidence: two tests of tests/test_gate.py and one of tests/test_backend_client.py; 3 of 3 failed before.

The gate now remembers apart from its own stop that the backend server has left, and looks after the slot is granted; the client looks after the connection is open.

--- a/src/savoryhollow/admission/gate.py
+++ b/src/savoryhollow/admission/gate.py
@@ -63,6 +63,7 @@
         self._in_progress = 0
         self._stopping = False
         self.leaving = False
+        self.has_backend_left = False
 
     # -----------------------------------------------------------------------
     #   Calls
@@ -126,6 +127,8 @@
             if started >= deadline:
                 # The process was paused between the grant of the slot and now.
                 return self._refuse(call, calls.NotRunReason.DEADLINE)
+            if self.has_backend_left:
+                return self._refuse(call, calls.NotRunReason.LEAVING)
             answer = self._run_backend(call, deadline)
         except errors.BackendError as error:
             if not error.started:
@@ -311,15 +314,14 @@
     def follow_list(self, has_left: bool) -> None:
         """Refuse waiting and new calls while the backend server has left.
 
-        Calls that run are finished. Nothing changes once the process stops.
+        Calls that run are finished. A process that stops goes on refusing new calls.
 
         :param has_left: whether the list says that the backend server leaves, or no
             longer names it.
         """
         with self._lock:
-            if self._stopping:
-                return
-            self.leaving = has_left
+            self.has_backend_left = has_left
+            self.leaving = has_left or self._stopping
             waiting = list(self._waiters_by_id) if has_left else []
         for request_id in waiting:
             self._withdraw(request_id, calls.NotRunReason.LEAVING)
--- a/src/savoryhollow/backend/client.py
+++ b/src/savoryhollow/backend/client.py
@@ -1,6 +1,7 @@
 """HTTP client that sends calls to the backend server of this instance."""
 
 import collections
+import collections.abc
 import dataclasses
 import http.client
 import io
@@ -79,11 +80,14 @@
     :param host: the IP address of the backend server.
     :param port: the port of the backend server.
     :param max_body_bytes: the largest response body that is accepted, in bytes.
+
+    ``may_send`` is called right before a call is sent: it isn't if the result is False.
     """
 
     def __init__(self, host: str, port: int, max_body_bytes: int):
         self._host = host
         self._port = port
+        self.may_send: collections.abc.Callable[[], bool] = lambda: True
         self._max_body_bytes = max_body_bytes
         self._lock = threading.Lock()
         self._idle: collections.deque[urllib3.connection.HTTPConnection] = (
@@ -99,6 +103,10 @@
         :raises errors.BackendError: if no complete response was received.
         """
         connection = self._get_connection(deadline)
+        if not self.may_send():
+            connection.close()
+            message = "the backend server left while a connection was opened"
+            raise errors.BackendError(message, started=False)
         try:
             response = self._exchange(connection, call, deadline)
         except (
--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -122,6 +122,7 @@
         )
         run = self.runs.observe(run_with_headers)
         self.gate = gate_module.Gate(self._queue, self.outcomes, run)
+        self._backend.may_send = lambda: not self.gate.has_backend_left
 
     def _build_router(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -93,6 +93,19 @@
     assert not caught.value.started
 
 
+def test_a_call_is_not_sent_if_its_backend_server_leaves_while_it_connects():
+    """Opening a connection may take as long as the call has left."""
+    server = ScriptedServer(COMPLETE_RESPONSE)
+    backend_client = client.BackendClient("127.0.0.1", server.port, 100)
+    backend_client.may_send = lambda: False
+    with pytest.raises(errors.BackendError) as caught:
+        send_call(server.port, backend_client=backend_client)
+    assert not caught.value.started
+    backend_client.may_send = lambda: True
+    assert send_call(server.port, backend_client=backend_client).body == b"body"
+    assert len(server.requests) == 1
+
+
 @pytest.mark.parametrize(
     "response",
     [
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -193,6 +193,35 @@
     assert gate.serve(make_call("next", "urgent")).body == b"next"
 
 
+def test_what_waits_is_refused_also_while_the_process_stops(gate, backend):
+    """It was run however long ago the list had dropped its backend server."""
+    holder = hold_slot(gate, backend)
+    waiting = ServeThread(gate, "waiting")
+    wait_until(lambda: gate.report().queued == 1)
+    gate.leave()
+    gate.follow_list(has_left=True)
+    backend.go.set()
+    assert waiting.wait_for_answer().reason is calls.NotRunReason.LEAVING
+    assert holder.wait_for_answer().body == b"holder"
+    assert backend.ran == ["holder"]
+
+
+def test_what_has_a_slot_but_is_not_sent_yet_is_refused(gate, backend, monkeypatch):
+    """Its thread may continue long after the backend server has left."""
+    acquire = gate._acquire
+
+    def acquire_and_lose(entry):
+        acquire(entry)
+        gate.follow_list(has_left=True)
+
+    monkeypatch.setattr(gate, "_acquire", acquire_and_lose)
+    backend.go.set()
+    refused = gate.serve(make_call("granted", "urgent"))
+    assert refused.reason is calls.NotRunReason.LEAVING
+    assert backend.ran == []
+    assert gate.report().busy == 0
+
+
 def test_a_gate_that_stops_is_not_opened_by_a_list(gate):
     gate.leave()
     gate.follow_list(has_left=False)
