Count a planned stop from its signal, not from the end of the start

What callers saw: the connection ended without a response, and no line of the daemon named the request.

Cause: all times of a stop (2.8 s in which requests are taken, the latest deadline 0.5 s and the last responses 0.4 s before the limit) counted from when the stop began. SIGTERM is remembered while the daemon starts, so the stop begins when the start ends: after the libraries, and after up to 3 s for each port in use. From 0.4 s on, the process still promised time that the platform doesn't give it. A held-up event loop delays the stop in the same way.

Now the signal handler stores the time of the signal, and the stop counts from that. A stop that begins late refuses at once with 503 what waits at its port. It waits for one interval before it ends, as those requests are not read yet when the ports open.

Evidence: test_a_stop_that_is_requested_during_startup_ends_within_its_limit failed before (the process lived 4.8 s of its 4.0 s; TimeoutExpired) and passes now.

--- a/src/savoryhollow/platform/__main__.py
+++ b/src/savoryhollow/platform/__main__.py
@@ -9,9 +9,9 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 # SIGTERM must not end the process before it has answered the requests that callers have
-# sent meanwhile, so it is remembered until the daemon can stop.
-early_signals: list[int] = []
-signal.signal(signal.SIGTERM, lambda number, _: early_signals.append(number))
+# sent meanwhile, so its time is remembered until the daemon can stop.
+stop_request_times: list[float] = []
+signal.signal(signal.SIGTERM, lambda *_: stop_request_times.append(time.monotonic()))
 
 from savoryhollow.platform import early  # noqa: E402
 
@@ -23,6 +23,6 @@
     from savoryhollow.platform import process
 
     try:
-        sys.exit(process.run(front_socket, listening_since, early_signals))
+        sys.exit(process.run(front_socket, listening_since, stop_request_times))
     except errors.SettingsError as error:
         sys.exit(str(error))
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -187,13 +187,19 @@
     settings: boot.BootSettings,
     front_socket: socket.socket | None,
     listening_since: float,
-    early_signals: list[int],
+    stop_request_times: list[float],
 ) -> bool:
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
+
+    def request_stop(*_: object) -> None:
+        # Python calls this at once, even while the event loop is held up.
+        stop_request_times.append(loop.time())
+        loop.call_soon_threadsafe(stop_requested.set)
+
     for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
-    if early_signals:
+        signal.signal(signal_number, request_stop)
+    if stop_request_times:
         stop_requested.set()
     adapter = Adapter(settings)
     agent = adapter.agent
@@ -211,7 +217,7 @@
     await stop_requested.wait()
     # Endpoints may be removed while the agent finishes its requests, so the follower
     # keeps running until then.
-    drained = await agent.stop()
+    drained = await agent.stop(stop_request_times[0])
     follower_task.cancel()
     return drained
 
@@ -250,13 +256,14 @@
 def run(
     front_socket: socket.socket | None,
     listening_since: float,
-    early_signals: list[int],
+    stop_request_times: list[float],
 ) -> int:
     """Run a daemon until SIGTERM or SIGINT.
 
     :param front_socket: a socket that is already listening for callers, if any.
     :param listening_since: the monotonic time since which it has been listening, in s.
-    :param early_signals: the signals to stop that came before this call.
+    :param stop_request_times: the monotonic times, in s, of the signals to stop that
+        came before this call; later ones are added.
     :returns: the exit status: 0 if all requests had ended, else 1.
     :raises errors.SettingsError: if the settings are invalid or a port cannot be
         opened.
@@ -266,7 +273,12 @@
     events.configure(settings.agent.instance, stream=output.LossyStream(1))
     with asyncio.Runner() as runner:
         serving = _serve(
-            path, last_stamp, settings, front_socket, listening_since, early_signals
+            path,
+            last_stamp,
+            settings,
+            front_socket,
+            listening_since,
+            stop_request_times,
         )
         try:
             drained = runner.run(serving)
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -220,14 +220,16 @@
             # Serving callers is more important than metrics.
             tasks.log_failure("metrics", error)
 
-    async def stop(self) -> bool:
+    async def stop(self, requested_at: float | None = None) -> bool:
         """Finish the requests in progress and close all ports.
 
+        :param requested_at: the time at which the stop was requested; None for now.
         :returns: True if all requests ended within the stop limit.
         """
         events.emit(events.Event.DAEMON_STOPPING)
         self.stopping = True
         drained = await stopping.finish_requests(
+            self.now if requested_at is None else requested_at,
             self.settings.stop_limit_s,
             self._caller_server,
             self.front,
--- a/src/savoryhollow/proxy/stopping.py
+++ b/src/savoryhollow/proxy/stopping.py
@@ -38,6 +38,7 @@
 
 
 async def finish_requests(
+    requested_at: float,
     stop_limit_s: float,
     caller_server: callers.Server,
     front: front_module.Front,
@@ -47,7 +48,8 @@
 ) -> bool:
     """Accept, then refuse requests until none is in progress, and close all ports.
 
-    :param stop_limit_s: the time after which the process is killed, in s.
+    :param requested_at: the time at which the stop was requested.
+    :param stop_limit_s: the time after that at which the process is killed, in s.
     :returns: True if all requests ended in time.
     """
 
@@ -57,15 +59,17 @@
         )
 
     clock = asyncio.get_running_loop().time
-    deadline = clock() + stop_limit_s - STOP_MARGIN_S
+    deadline = requested_at + stop_limit_s - STOP_MARGIN_S
     front.latest_deadline = deadline - RESPONSE_MARGIN_S
     caller_server.disable_keep_alive()
-    await asyncio.sleep(GATE_GRACE_S)
+    await asyncio.sleep(requested_at + GATE_GRACE_S - clock())
     gate.leave()
     reporter.report_now()
-    await asyncio.sleep(CALLER_GRACE_S - GATE_GRACE_S)
+    await asyncio.sleep(requested_at + CALLER_GRACE_S - clock())
     # A request accepted from here on might outlive the process.
     caller_server.refuse_requests(REFUSAL)
+    # Callers may have waited for the ports to open, so their requests are still unread.
+    await asyncio.sleep(CHECK_INTERVAL_S)
     while clock() < deadline and in_progress():
         await asyncio.sleep(CHECK_INTERVAL_S)
     drained = not in_progress()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -14,6 +14,10 @@
 
 START_TIMEOUT_S = 60
 POLL_INTERVAL_S = 0.01
+# The bound ``grace_s`` of the settings.
+STOP_LIMIT_S = 4
+# Less than a daemon waits for its ports.
+PORT_IN_USE_S = 2.0
 
 
 def test_sighup_during_startup_does_not_end_the_daemon(tmp_path):
@@ -45,7 +49,7 @@
 region = "east"
 app_addr = "{ip}:8145"
 service = "dispatch"
-bounds = ["grace_s=4"]
+bounds = ["grace_s={STOP_LIMIT_S}"]
 [zones]
 east-a = "east"
 [listen]
@@ -78,10 +82,14 @@
 
 
 def wait_until_ready_port_opens(daemon, ip):
+    wait_until_port_opens(daemon, ip, 8141)
+
+
+def wait_until_port_opens(daemon, ip, port):
     deadline = time.monotonic() + START_TIMEOUT_S
     while time.monotonic() < deadline and daemon.poll() is None:
         with contextlib.suppress(OSError):
-            socket.create_connection((ip, 8141), 1.0).close()
+            socket.create_connection((ip, port), 1.0).close()
             return
         time.sleep(POLL_INTERVAL_S)
     raise AssertionError(f"no daemon, exit status {daemon.poll()}")
@@ -131,3 +139,23 @@
             wait_until_ready_port_opens(daemon, ip)
             time.sleep(0.5)
             assert daemon.poll() is None
+
+
+def test_a_stop_that_is_requested_during_startup_ends_within_its_limit(tmp_path):
+    """The stop counted from the end of the start, beyond the time of the SIGKILL.
+
+    Requests that came late were still passed on, and cut without a response.
+    """
+    path = tmp_path / "settings"
+    ip = reserve_ip()
+    path.write_text(settings_text(ip))
+    with socket.create_server((ip, 8146)) as other, running_daemon(path) as daemon:
+        wait_until_port_opens(daemon, ip, 8147)
+        daemon.send_signal(signal.SIGTERM)
+        killed_at = time.monotonic() + STOP_LIMIT_S
+        time.sleep(PORT_IN_USE_S)
+        other.close()
+        with socket.create_connection((ip, 8147)) as caller:
+            caller.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert caller.recv(100).startswith(b"HTTP/1.1 503 ")
+        assert daemon.wait(timeout=killed_at - time.monotonic()) == 0
