Let no older update bring back what a complete copy lacks

After a restart of a daemon, a backend server that had left could be in use again (DRAIN, once its daemon was the restarted one: its gate opened for its own callers), and stay so until the next complete list, which may never come.

Cause: a daemon that starts reads the store with stale_ok, again each 0.8 s until its own endpoint is listed, and gets complete lists of readers besides. Such a list has what is left and no removals. An older read or list that came next still had the entry; nothing was known of it, so it was taken in, while the copy went on claiming the later revision. So neither a watch nor an update after it told of the removal.

Evidence: two tests of tests/test_relay_items.py, one for an older read, one for an older list of another restarted reader; 2 of 2 failed before.

An update as of an earlier revision than the copy's now adds only what is newer than the copy. test_any_order_of_delivery_converges_to_the_newest_items sent updates that claimed to be complete since the beginning and held a single item, which no reader sends, and which contradict each other; they now are what readers send, from any revision on.

--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -98,7 +98,7 @@
 
         :param as_of: the revision up to which the replica is complete with them.
         """
-        newer = [item for item in items if self._is_newer(item)]
+        newer = [item for item in items if self._is_newer(item, as_of)]
         for item in newer:
             self._items_by_key[item.key] = item
         self.as_of = max(self.as_of, as_of)
@@ -147,7 +147,14 @@
         self.in_contact = in_contact
         self._report_contact(in_contact)
 
-    def _is_newer(self, item: Item) -> bool:
+    def _is_newer(self, item: Item, as_of: int) -> bool:
+        """Return whether an item of an update is newer than what is known of it.
+
+        :param as_of: the revision of the update.
+        """
+        if as_of < self.as_of and item.revision <= self.as_of:
+            # This copy is complete to a later revision: what it lacks was removed.
+            return False
         known = self._items_by_key.get(item.key)
         return known is None or item.revision > known.revision
 
--- a/tests/test_relay_items.py
+++ b/tests/test_relay_items.py
@@ -167,13 +167,19 @@
         item(key, revision, None if removed else str(revision).encode())
         for revision, (key, removed) in enumerate(changes, 1)
     ]
-    newest = {one.key: one for one in items}
+
+    def update_to(as_of):
+        """Return an update as a reader sends it, from any revision on."""
+        since = rng.randrange(-1, as_of)
+        newest = {one.key: one for one in items if since < one.revision <= as_of}
+        return update(as_of, *newest.values(), since=since)
+
     follower = Follower()
-    delivered = items + items
+    delivered = [update_to(one.revision) for one in items + items]
     rng.shuffle(delivered)
     for one in delivered:
-        follower.replica.receive(update(one.revision, one), 0.0)
-    assert follower.items_by_key == newest
+        follower.replica.receive(one, 0.0)
+    assert follower.items_by_key == {one.key: one for one in items}
 
 
 def first_direct_read_at(reader, follower):
@@ -306,6 +312,30 @@
     assert follower._items_by_key["new"].content == b"z"
 
 
+def test_an_older_read_does_not_bring_back_what_a_list_lacks():
+    """A daemon that starts reads several times, each time as old as the store likes.
+
+    It used a backend server again that had left, and never learned of it: it held that
+    removal for known.
+    """
+    follower = Follower()
+    follower.replica.receive(update(9, item("b", 2), since=relay.COMPLETE_LIST), 0.0)
+    follower.replica.apply_snapshot([item("a", 1), item("b", 2)], 5)
+    assert "a" not in follower.items_by_key
+    assert follower.items_by_key["b"].content == b"x"
+
+
+def test_an_older_list_of_another_reader_does_not_bring_back_what_a_list_lacks():
+    """Two readers of a region may have been restarted, one of them with an old list."""
+    follower = Follower()
+    follower.replica.apply_snapshot([item("b", 2)], 9)
+    older = Follower().replica
+    older.apply_snapshot([item("a", 1), item("b", 2), item("c", 10)], 5)
+    follower.replica.receive(older.next_update(0.0), 0.0)
+    assert set(follower.items_by_key) == {"b", "c"}
+    assert follower.replica.as_of == 9
+
+
 def test_an_update_since_a_list_has_only_what_changed():
     follower, reader = make_pair()
     follower.receive(reader.next_update(0.0), 0.0)
