Count the time that a body takes to arrive against its deadline

What callers saw: a request with a long body was given more time than its caller had left.

Cause: the time of a request counted from the chunk with its last byte. A body of 3 MB doesn't fit into the kernel's buffers, so its end arrives only once the daemon reads, however long its head has waited. The same holds for a daemon that has been running for long, if a caller sends slowly or waits for memory: the class is a time that is taken at the end of what it measures. Besides, the age of waiting data was asked after the first read, when the caller's next data had already arrived and reset it.

The new test failed before in both of its cases; with the time from the first byte alone, "starting" still failed, by the age that was asked too late.

Now the time counts from the arrival of a request's first byte. What has waited in a connection is asked when the connection is accepted, before it is read, and only if unread data is there. The objective and the latency in metrics and logs count from there as well, as they are the caller's.

--- a/src/savoryhollow/http1/caller_connection.py
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -60,7 +60,10 @@
         self._pipeline: collections.deque[_PipelinedRequest] = collections.deque()
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._data_arrived_at: float | None = None
+        # Arrival of the data that waits to be read, until it is read.
+        self._waiting_since: float | None = None
+        self._data_arrived_at = 0.0
+        self._message_began_at = 0.0
         self._closed = False
         self._refusal_bytes = 0
         self._graceful_close: closing.GracefulClose | None = None
@@ -89,6 +92,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._server.connections.add(self)
+        self._waiting_since = self._server.waiting_since(transport)
         self._restart_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -105,7 +109,8 @@
         """Parse data from the caller."""
         if self._closed:
             return
-        self._record_arrival()
+        self._data_arrived_at = self._waiting_since or self._loop.time()
+        self._waiting_since = None
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -114,13 +119,6 @@
             self._reject(400)
         self._restart_timer()
 
-    def _record_arrival(self) -> None:
-        assert self._transport is not None
-        now = self._loop.time()
-        if self._data_arrived_at is None:
-            now = self._server.first_data_arrived_at(self._transport, now)
-        self._data_arrived_at = now
-
     # -----------------------------------------------------------------------
     #   Callbacks of the parser
     # -----------------------------------------------------------------------
@@ -133,7 +131,8 @@
         self._reading_message = False
 
     def on_message_begin(self) -> None:
-        """Start a new request."""
+        """Start a new request; its caller waits from now on."""
+        self._message_began_at = self._data_arrived_at
         self._reset_message()
         self._reading_message = True
 
@@ -225,13 +224,12 @@
             self._refusal_bytes = len(messages.render_response(refusal))
             self._refuse(refusal)
             return
-        assert self._data_arrived_at is not None
         request = messages.Request(
             method=self._parser.get_method().decode("latin-1"),
             target=self._target.decode("latin-1"),
             headers=tuple(self._headers),
             body=bytes(self._body),
-            received_at=self._data_arrived_at,
+            received_at=self._message_began_at,
             keep_alive=self._parser.should_keep_alive(),
         )
         self._body = bytearray()
--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -98,17 +98,18 @@
             backlog=BACKLOG,
         )
 
-    def first_data_arrived_at(self, transport: asyncio.Transport, now: float) -> float:
-        """Return when the first data of a connection arrived.
+    def waiting_since(self, transport: asyncio.Transport) -> float | None:
+        """Return when the data arrived that a new connection has waiting.
 
-        :param transport: the transport that has just read the data.
-        :param now: the current time.
+        :param transport: a transport that hasn't been read yet: once it is, more data
+            can arrive.
+        :returns: the time, or None if the connection hasn't waited for the start.
         """
+        now = asyncio.get_running_loop().time()
         if self._listening_since is None or now > self._started_at + START_WINDOW_S:
-            return now
-        # The connection may have waited for the start with its data unread.
-        age_s = tcp_info.last_data_age_s(transport.get_extra_info("socket"))
-        return max(self._listening_since, now - age_s)
+            return None
+        age_s = tcp_info.unread_data_age_s(transport.get_extra_info("socket"))
+        return None if age_s is None else max(self._listening_since, now - age_s)
 
     def disable_keep_alive(self) -> None:
         """Close each connection with a response after which no request is pending."""
--- a/src/savoryhollow/http1/messages.py
+++ b/src/savoryhollow/http1/messages.py
@@ -42,7 +42,7 @@
     :param target: the path with its query, as received.
     :param headers: the headers in the order received.
     :param body: the whole body, without transfer encoding.
-    :param received_at: the event loop's time at which its last byte was read, in s.
+    :param received_at: the event loop's time at which its first byte arrived, in s.
     :param keep_alive: whether the caller allows the connection to stay open.
     """
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -120,6 +121,43 @@
     run_with_timeout(main)
 
 
+@pytest.mark.parametrize("waits_for_start", [False, True], ids=["running", "starting"])
+def test_the_time_that_a_body_takes_to_arrive_counts(waits_for_start):
+    """Else the endpoint gets a deadline that is later than the caller's.
+
+    A long body can't arrive before the daemon reads, so its last byte says nothing
+    about how long its caller has been waiting.
+    """
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        received_at = loop.create_future()
+
+        async def handle(request):
+            received_at.set_result(request.received_at)
+            return messages.Response(200)
+
+        server = callers.Server(handle)
+        listener = socket.create_server(("127.0.0.1", 0))
+        listening_since = loop.time()
+        if not waits_for_start:
+            await server.start("", 0, listener)
+        _, writer = await asyncio.open_connection(*listener.getsockname())
+        writer.write(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 8000000\r\n\r\n")
+        writer.write(7_999_999 * b"x")
+        await asyncio.sleep(0.3)
+        ends_at = loop.time()
+        if waits_for_start:
+            await server.start("", 0, listener, listening_since)
+        writer.write(b"x")
+        arrived_at = await received_at
+        writer.close()
+        server.close()
+        assert listening_since <= arrived_at < ends_at
+
+    run_with_timeout(main)
+
+
 def test_a_caller_that_disconnects_cancels_its_request():
     async def main():
         handler = ManualHandler()
