Let a complete list remove what its reader saw removed only earlier

An endpoint that was removed, came back under its id and left again could stay in use by the followers of a reader (DRAIN).

Cause: a complete list holds the removals that its reader knows. A reader that missed the return and the second removal, and then read all items anew, still lists the first removal. Its followers counted each key of the list as present, removals too, and kept the entry of the return, which is newer than that removal.

Evidence: a new test of tests/test_relay_items.py failed before.

Only items with content are present. Removals that the list names come last, so that they keep their own revision.

--- a/src/savoryhollow/proxy/relay.py
+++ b/src/savoryhollow/proxy/relay.py
@@ -115,13 +115,13 @@
         """
         if as_of > self.as_of:
             self._removals_known_since = as_of
-        present_keys = {item.key for item in items}
+        present_keys = {item.key for item in items if item.content is not None}
         gone = [
             Item(key, as_of, None)
             for key, known in self._items_by_key.items()
             if key not in present_keys and known.content is not None
         ]
-        self.apply(items + gone, as_of)
+        self.apply(gone + items, as_of)
 
     def confirm(self, at: float) -> None:
         """Record a time at which the platform confirmed that the copy is complete."""
--- a/tests/test_relay_items.py
+++ b/tests/test_relay_items.py
@@ -336,6 +336,21 @@
     assert follower.replica.as_of == 9
 
 
+def test_a_list_removes_what_its_reader_saw_removed_only_earlier():
+    """An endpoint may come back under its id, and leave again.
+
+    A reader that missed both still lists the first removal, so its followers took the
+    endpoint for listed.
+    """
+    reader, follower = Follower().replica, Follower()
+    reader.apply([item("a", 5, None)], 5)
+    reader.apply_snapshot([item("b", 1)], 13)
+    follower.replica.apply([item("a", 11)], 11)
+    follower.replica.receive(reader.message_since(11, 0.0), 0.0)
+    assert follower.items_by_key["a"].content is None
+    assert follower.items_by_key["b"].content == b"x"
+
+
 def test_an_update_since_a_list_has_only_what_changed():
     follower, reader = make_pair()
     follower.receive(reader.next_update(0.0), 0.0)
