Log each request that was read and gets no response, with the reason

On-call engineers couldn't find a lost request: in the users' record no daemon names it. Requests that were queued behind others, partly read, dropped behind a response that closes the connection, sent during a graceful close, or whose response wasn't received left no line with their id; those that a planned stop ended with a 504 were logged as if their caller had left; a failed handler's request had no id; data behind a request with `Connection: close` was logged as the rejection of that request, which had run. At the end of the process the log's buffer and the last window's count of suppressed lines were lost.

http1.losses reports each such request with its stage and reason, once; which responses were received is known from the kernel's count of confirmed bytes, also after a reset. The front logs `request_dropped` (4013) or `response_cut` (4014) and counts them in `savoryhollow_lost_total`; a cancelled handler gets the reason with its cancellation, so `request_abandoned` has it. The gate logs `run_cancelled` (4015) and `answer_unsent` (4016). `daemon_stopped` has `endings`, how all requests ended since SIGTERM, and `lines_left_out` (9003) counts what the log lacks. Ordinary ends of connections leave no line.

Threaded path: unchanged.

--- a/src/savoryhollow/http1/body_budget.py
+++ b/src/savoryhollow/http1/body_budget.py
@@ -7,7 +7,7 @@
 import collections
 import collections.abc
 
-__all__ = ["BodyBudget"]
+__all__ = ["BodyBudget", "Reservation"]
 
 # Copies of a body that exist at one time at most: received, put together, encoded for
 # another daemon, and waiting to be sent.
@@ -77,3 +77,50 @@
             self._waiting.popleft()
             self._used_bytes += cost_bytes
             on_granted()
+
+
+class Reservation:
+    """The memory for the body that is being read from one connection.
+
+    :param budget: the budget of the server.
+    :param on_granted: called once memory that it had to wait for is reserved.
+    """
+
+    def __init__(self, budget: BodyBudget, on_granted: OnGranted):
+        self.is_waiting = False
+        self._budget = budget
+        self._on_granted = on_granted
+        self._cost_bytes = 0
+
+    @property
+    def is_held(self) -> bool:
+        """Whether memory is reserved or waited for."""
+        return self._cost_bytes > 0
+
+    def reserve(self, body_bytes: int) -> None:
+        """Reserve memory for a body, or wait for it.
+
+        :param body_bytes: the length of the body, in bytes.
+        """
+        self._cost_bytes = self._budget.cost_bytes(body_bytes)
+        if self._cost_bytes:
+            granted = self._budget.reserve(self._cost_bytes, self._grant)
+            self.is_waiting = not granted
+
+    def _grant(self) -> None:
+        self.is_waiting = False
+        self._on_granted()
+
+    def take(self) -> int:
+        """Hand the reserved memory over; return it, in bytes."""
+        cost_bytes, self._cost_bytes = self._cost_bytes, 0
+        return cost_bytes
+
+    def release(self) -> None:
+        """Give the memory back."""
+        if self.is_waiting:
+            self.is_waiting = False
+            self._budget.withdraw(self._grant)
+            self._cost_bytes = 0
+        elif self._cost_bytes:
+            self._budget.release(self.take())
--- a/src/savoryhollow/http1/caller_connection.py
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -14,7 +14,7 @@
 import httptools
 
 from savoryhollow import calls
-from savoryhollow.http1 import closing, messages
+from savoryhollow.http1 import body_budget, closing, losses, messages, pipeline
 
 if typing.TYPE_CHECKING:
     from savoryhollow.http1 import callers
@@ -27,24 +27,7 @@
 NO_MEMORY_RESPONSE = messages.Response(
     503, (calls.Header("Retry-After", "0.50"),), close=True
 )
-# Methods whose requests may run concurrently with others of the same connection.
-CONCURRENT_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
-
-
-@dataclasses.dataclass(slots=True)
-class _PipelinedRequest:
-    """A request of a connection whose response has not been sent yet.
-
-    :param request: the request; None if it was rejected while it was read.
-    :param response: the response, once it is known.
-    :param task: the task that serves the request, once it has started.
-    :param reserved_bytes: the memory reserved for its body.
-    """
-
-    request: messages.Request | None
-    response: messages.Response | None = None
-    task: asyncio.Task | None = None
-    reserved_bytes: int = 0
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class CallerConnection(asyncio.Protocol):
@@ -57,7 +40,9 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
-        self._pipeline: collections.deque[_PipelinedRequest] = collections.deque()
+        self._pipeline: collections.deque[pipeline.PipelinedRequest] = (
+            collections.deque()
+        )
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
         # Arrival of the data that waits to be read, until it is read.
@@ -65,10 +50,14 @@
         self._data_arrived_at = 0.0
         self._message_began_at = 0.0
         self._closed = False
+        self._timed_out = False
+        self._skips_data = False
         self._refusal_bytes = 0
         self._graceful_close: closing.GracefulClose | None = None
-        self._reserved_bytes = 0
-        self._awaits_memory = False
+        self._losses = losses.LossReporter(server)
+        self._memory = body_budget.Reservation(
+            server.body_budget, self._on_memory_granted
+        )
         self._reset_message()
 
     @property
@@ -97,25 +86,30 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests in progress, as the caller is gone."""
+        reason = losses.Reason.CONNECTION_LOST if exc else losses.Reason.CALLER_CLOSED
+        if self._graceful_close is not None and self._graceful_close.gave_up:
+            reason = losses.Reason.STALLED
+        elif self._timed_out:
+            reason = losses.Reason.IDLE_TIMEOUT
         self._closed = True
+        self.report_losses(reason)
         self._server.connections.discard(self)
         if self._timer is not None:
             self._timer.cancel()
         if self._graceful_close is not None:
             self._graceful_close.cancel()
-        self._cancel_requests()
+        self._cancel_requests(reason)
 
     def data_received(self, data: bytes) -> None:
-        """Parse data from the caller."""
-        if self._closed:
+        """Parse data from the caller; requests that come too late are only reported."""
+        if self._skips_data:
             return
         self._data_arrived_at = self._waiting_since or self._loop.time()
         self._waiting_since = None
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._skips_data = True
             self._reject(400)
         self._restart_timer()
 
@@ -129,6 +123,9 @@
         self._body = bytearray()
         self._header_bytes = 0
         self._reading_message = False
+        self._reading_body = False
+        # Whether the message was refused, and is reported as that.
+        self._is_refused = False
 
     def on_message_begin(self) -> None:
         """Start a new request; its caller waits from now on."""
@@ -150,10 +147,12 @@
     def _count_header_bytes(self, size: int) -> None:
         self._header_bytes += size
         if self._header_bytes > self._server.limits.header_bytes:
+            self._skips_data = self._closed
             self._reject(431)
 
     def on_headers_complete(self) -> None:
         """Reserve memory for the body; send ``100 Continue`` if it is waited for."""
+        self._reading_body = True
         length = messages.find_header(tuple(self._headers), "content-length") or ""
         if length.isdecimal():
             self._reserve_length(int(length))
@@ -161,17 +160,21 @@
         if expected and expected.lower() == "100-continue" and not self._closed:
             assert self._transport is not None
             if not self._pipeline:
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._transport.write(CONTINUE_RESPONSE)
+                size = len(CONTINUE_RESPONSE)
+                self._losses.record_sent(self._transport, size, None)
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
+        if self._closed:
+            return
         self._body += body
         limit, budget = self._server.limits.body_bytes, self._server.body_budget
         if len(self._body) > limit:
             self._reject(413)
         elif not budget.fits(len(self._body)):
             self._refuse(NO_MEMORY_RESPONSE)
-        elif budget.cost_bytes(len(self._body)) and not self._reserved_bytes:
+        elif budget.cost_bytes(len(self._body)) and not self._memory.is_held:
             # A chunked body, whose length isn't known before its end.
             self._reserve_memory(limit)
 
@@ -188,37 +191,32 @@
     def _reserve_memory(self, body_bytes: int) -> None:
         """Reserve memory for a body, and read nothing until it is granted."""
         assert self._transport is not None
-        budget = self._server.body_budget
-        cost_bytes = budget.cost_bytes(body_bytes)
-        if not cost_bytes or self._closed:
+        if self._closed:
             return
-        self._reserved_bytes = cost_bytes
-        self._awaits_memory = not budget.reserve(cost_bytes, self._on_memory_granted)
-        if self._awaits_memory:
+        self._memory.reserve(body_bytes)
+        if self._memory.is_waiting:
             self._transport.pause_reading()
 
     def _on_memory_granted(self) -> None:
         assert self._transport is not None
-        self._awaits_memory = False
         self._transport.resume_reading()
         self._restart_timer()
 
-    def _release_memory(self) -> None:
-        """Give back the memory of the body that is being read."""
-        if self._awaits_memory:
-            self._awaits_memory = False
-            self._server.body_budget.withdraw(self._on_memory_granted)
-        elif self._reserved_bytes:
-            self._server.body_budget.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+    @property
+    def _is_refusing(self) -> bool:
+        """Whether a response that closes the connection waits for earlier ones."""
+        return bool(self._pipeline) and self._pipeline[-1].request is None
 
     def on_message_complete(self) -> None:
         """Add the complete request to the pipeline."""
         self._reading_message = False
         refusal = self._server.refusal
-        if self._closed or (refusal is not None and self._pipeline):
+        is_refused = self._is_refusing or (refusal is not None and self._pipeline)
+        if self._closed or is_refused:
             # The response before it closes the connection, so the caller knows that
             # the request has not run.
+            self._report_message(losses.Reason.BEHIND_CLOSE, losses.Stage.QUEUED)
+            self._memory.release()
             return
         if refusal is not None:
             self._refusal_bytes = len(messages.render_response(refusal))
@@ -232,9 +230,9 @@
             received_at=self._message_began_at,
             keep_alive=self._parser.should_keep_alive(),
         )
-        self._body = bytearray()
-        entry = _PipelinedRequest(request, reserved_bytes=self._reserved_bytes)
-        self._reserved_bytes = 0
+        # What comes next isn't part of this request.
+        self._reset_message()
+        entry = pipeline.PipelinedRequest(request, reserved_bytes=self._memory.take())
         self._pipeline.append(entry)
         if len(self._pipeline) >= MAX_PIPELINED:
             assert self._transport is not None
@@ -247,23 +245,13 @@
 
     def _start_ready(self) -> None:
         """Start each request that need not wait for earlier responses."""
-        for position, entry in enumerate(self._pipeline):
-            if entry.request is None:
-                return
-            if entry.request.method not in CONCURRENT_METHODS:
-                if position == 0 and entry.task is None:
-                    self._start_task(entry)
-                return
-            if entry.task is None:
-                self._start_task(entry)
-            if not entry.request.keep_alive:
-                return
-
-    def _start_task(self, entry: _PipelinedRequest) -> None:
-        assert entry.request is not None
-        entry.task = self._loop.create_task(self._serve(entry, entry.request))
-
-    async def _serve(self, entry: _PipelinedRequest, request: messages.Request) -> None:
+        for entry, request in pipeline.startable(self._pipeline):
+            entry.task = self._loop.create_task(self._serve(entry, request))
+
+    async def _serve(
+        self, entry: pipeline.PipelinedRequest, request: messages.Request
+    ) -> None:
+        entry.is_handled = True
         try:
             entry.response = await self._server.handle(request)
         finally:
@@ -271,6 +259,8 @@
                 # The handler failed, so it isn't known whether the request has run.
                 # Respond without saying anything about that.
                 entry.response = messages.Response(500, close=True)
+                reason = losses.Reason.HANDLER_FAILED
+                self._losses.report_request(request, losses.Stage.SERVED, reason)
             self._flush()
 
     def _flush(self) -> None:
@@ -284,12 +274,14 @@
             self._server.body_budget.release(entry.reserved_bytes)
         if not self._closed:
             self._start_ready()
-            has_room = len(self._pipeline) < MAX_PIPELINED and not self._awaits_memory
+            has_room = (
+                len(self._pipeline) < MAX_PIPELINED and not self._memory.is_waiting
+            )
             if has_room and self._transport is not None:
                 self._transport.resume_reading()
             self._restart_timer()
 
-    def _write(self, entry: _PipelinedRequest) -> None:
+    def _write(self, entry: pipeline.PipelinedRequest) -> None:
         assert entry.response is not None and self._transport is not None
         request = entry.request
         is_kept_alive = request is not None and request.keep_alive
@@ -297,20 +289,17 @@
         # only after the last response.
         must_close = not is_kept_alive or entry.response.close
         must_close = must_close or (self._server.closing and not self._pipeline)
-        response = messages.Response(
-            entry.response.status,
-            entry.response.headers,
-            entry.response.body,
-            must_close,
-        )
-        self._transport.write(messages.render_response(response))
+        response = dataclasses.replace(entry.response, close=must_close)
+        data = messages.render_response(response)
+        self._transport.write(data)
+        self._losses.record_sent(self._transport, len(data), request)
         if must_close:
             self.close()
 
     def close(self) -> None:
         """Close the connection once the caller has received all responses."""
         self._closed = True
-        self._cancel_requests()
+        self._cancel_requests(losses.Reason.BEHIND_CLOSE)
         if self._transport is not None and not self._transport.is_closing():
             self._graceful_close = closing.GracefulClose(self._transport)
 
@@ -321,17 +310,15 @@
         """
         for entry in self._pipeline:
             if entry.response is None:
+                entry.cancel(losses.Reason.STOP_ENDED, self._losses)
                 entry.response = response
-                if entry.task is not None:
-                    entry.task.cancel()
         self._flush()
 
-    def _cancel_requests(self) -> None:
-        self._release_memory()
+    def _cancel_requests(self, reason: losses.Reason) -> None:
+        self._memory.release()
         for entry in self._pipeline:
             self._server.body_budget.release(entry.reserved_bytes)
-            if entry.task is not None:
-                entry.task.cancel()
+            entry.cancel(reason, self._losses)
         self._pipeline.clear()
 
     def _reject(self, status: int) -> None:
@@ -340,10 +327,11 @@
 
     def _refuse(self, response: messages.Response) -> None:
         """End the requests of this connection with a response that closes it."""
-        if self._pipeline and self._pipeline[-1].request is None:
+        if self._closed or self._is_refusing:
             return
+        self._is_refused = True
         self._server.on_rejected(response.status, tuple(self._headers))
-        self._pipeline.append(_PipelinedRequest(None, response))
+        self._pipeline.append(pipeline.PipelinedRequest(None, response))
         if self._transport is not None:
             self._transport.pause_reading()
         self._flush()
@@ -367,11 +355,36 @@
     def _on_timeout(self) -> None:
         if self._pipeline or self._closed:
             return
-        if self._awaits_memory:
+        if self._memory.is_waiting:
             self._refuse(NO_MEMORY_RESPONSE)
         elif self._reading_message:
             self._reject(408)
         elif self._transport is not None:
             # A request that is on its way stays unread, so the caller sends it again.
             self._closed = True
+            self._timed_out = True
             self._transport.close()
+
+    # -----------------------------------------------------------------------
+    #   Lost requests
+    # -----------------------------------------------------------------------
+
+    def report_losses(self, reason: losses.Reason) -> None:
+        """Report the request that is being read, and responses not yet received.
+
+        :param reason: why the connection ends.
+        """
+        if self._reading_message:
+            stage = losses.Stage.BODY if self._reading_body else losses.Stage.HEAD
+            is_late = self._graceful_close is not None
+            self._report_message(
+                losses.Reason.BEHIND_CLOSE if is_late else reason, stage
+            )
+        if self._transport is not None:
+            self._losses.report_unreceived(self._transport, reason)
+
+    def _report_message(self, reason: losses.Reason, stage: losses.Stage) -> None:
+        """Report the request that is being read, unless it was refused."""
+        if not self._is_refused:
+            headers = tuple(self._headers)
+            self._losses.report(headers, self._message_began_at, stage, reason)
--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -6,7 +6,13 @@
 import socket
 
 from savoryhollow import calls
-from savoryhollow.http1 import body_budget, caller_connection, messages, tcp_info
+from savoryhollow.http1 import (
+    body_budget,
+    caller_connection,
+    losses,
+    messages,
+    tcp_info,
+)
 
 __all__ = ["Handler", "Limits", "Server"]
 
@@ -46,7 +52,10 @@
         the connection.
 
     ``on_rejected`` is called for each request that is rejected while it is read, with
-    the status of the response and the headers read so far.
+    the status of the response and the headers read so far. ``on_lost`` is called for
+    each other request that was read, at least in part, and whose caller receives no
+    response to it, unless it is with the handler: that is cancelled, with the reason as
+    the message. ``request_id_header`` names the header with the id of a request.
     """
 
     def __init__(self, handle: Handler):
@@ -58,6 +67,8 @@
         self.on_rejected: collections.abc.Callable[
             [int, tuple[calls.Header, ...]], None
         ] = lambda status, headers: None
+        self.on_lost: collections.abc.Callable[[losses.Loss], None] = lambda loss: None
+        self.request_id_header = ""
         self.connections: set[caller_connection.CallerConnection] = set()
         self._listening_since: float | None = None
         self._started_at = float("-inf")
@@ -133,6 +144,11 @@
         for connection in tuple(self.connections):
             connection.end_requests(response)
 
+    def report_unfinished(self) -> None:
+        """Report the requests that the end of the process leaves without a response."""
+        for connection in tuple(self.connections):
+            connection.report_losses(losses.Reason.PROCESS_ENDED)
+
     def close(self) -> None:
         """Stop accepting connections, and requests if they aren't refused yet."""
         if self.refusal is None:
--- a/src/savoryhollow/http1/closing.py
+++ b/src/savoryhollow/http1/closing.py
@@ -31,9 +31,12 @@
     What the peer still sends is to be discarded by the protocol of the connection.
 
     :param transport: the transport of the connection.
+
+    ``gave_up`` tells whether the connection was aborted with data on its way.
     """
 
     def __init__(self, transport: asyncio.Transport):
+        self.gave_up = False
         self._transport = transport
         self._loop = asyncio.get_running_loop()
         self._unsent_bytes = unsent_bytes(transport)
@@ -68,6 +71,7 @@
             self._deadline = min(self._deadline, now + PEER_CLOSE_TIMEOUT_S)
         self._unsent_bytes = unsent
         if now >= self._deadline:
+            self.gave_up = unsent > 0
             self._transport.abort()
         else:
             self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
--- a/src/savoryhollow/http1/tcp_info.py
+++ b/src/savoryhollow/http1/tcp_info.py
@@ -5,12 +5,13 @@
 import struct
 import termios
 
-__all__ = ["unconfirmed_bytes", "unread_data_age_s"]
+__all__ = ["confirmed_bytes", "unconfirmed_bytes", "unread_data_age_s"]
 
-# Size of the information that is asked for, and the offset of the time since data was
-# last received in it, in bytes.
-TCP_INFO_BYTES = 104
+# Size of the information that is asked for, and the offsets in it of the time since
+# data was last received and of the confirmed length of the sent data, in bytes.
+TCP_INFO_BYTES = 128
 LAST_DATA_OFFSET = 52
+CONFIRMED_OFFSET = 120
 
 
 def unread_data_age_s(connection: socket.socket) -> float | None:
@@ -20,15 +21,8 @@
     """
     if _read_int(connection, termios.FIONREAD) == 0:
         return None
-    try:
-        info = connection.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
-        )
-        (age_ms,) = struct.unpack_from("=I", info, LAST_DATA_OFFSET)
-    except (OSError, struct.error):
-        # The age only shortens deadlines, so an unknown one is no failure.
-        return None
-    return age_ms / 1000
+    age_ms = _read_info(connection, "=I", LAST_DATA_OFFSET)
+    return None if age_ms is None else age_ms / 1000
 
 
 def unconfirmed_bytes(connection: socket.socket | None) -> int:
@@ -41,6 +35,18 @@
     return max(0, _read_int(connection, termios.TIOCOUTQ) or 0)
 
 
+def confirmed_bytes(connection: socket.socket | None) -> int | None:
+    """Return how much of all data sent on a connection the peer has confirmed.
+
+    That is known also once the connection was reset, until its socket is closed.
+
+    :returns: the number of bytes; None if the kernel doesn't tell.
+    """
+    if connection is None:
+        return None
+    return _read_info(connection, "=Q", CONFIRMED_OFFSET)
+
+
 def _read_int(connection: socket.socket, operation: int) -> int | None:
     """Return the integer that the kernel reports of a connection.
 
@@ -52,3 +58,20 @@
     except (OSError, ValueError, struct.error):
         return None
     return value
+
+
+def _read_info(connection: socket.socket, layout: str, offset: int) -> int | None:
+    """Return an integer of the kernel's information on a TCP connection.
+
+    :param layout: the integer's format, as defined by :mod:`struct`.
+    :param offset: its offset in the information, in bytes.
+    :returns: the integer; None if the connection is closed or the kernel doesn't tell.
+    """
+    try:
+        info = connection.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+        (value,) = struct.unpack_from(layout, info, offset)
+    except (OSError, struct.error):
+        return None
+    return value
--- a/src/savoryhollow/observe/events.py
+++ b/src/savoryhollow/observe/events.py
@@ -56,11 +56,16 @@
     ENDPOINT_TRUSTED = 4010
     REQUEST_GIVEN_UP = 4011
     REQUEST_REJECTED = 4012
+    REQUEST_DROPPED = 4013
+    RESPONSE_CUT = 4014
+    RUN_CANCELLED = 4015
+    ANSWER_UNSENT = 4016
     PROBE_FAILED = 3008
     BACKEND_LOST = 3009
     BACKEND_REGAINED = 3010
     LIBRARY_MESSAGE = 9001
     THREAD_FAILED = 9002
+    LINES_LEFT_OUT = 9003
 
 
 _WARNINGS = frozenset(
@@ -79,6 +84,7 @@
         Event.ENDPOINT_DISTRUSTED,
         Event.PROBE_FAILED,
         Event.BACKEND_LOST,
+        Event.LINES_LEFT_OUT,
     )
 )
 _ERRORS = frozenset((Event.THREAD_FAILED,))
@@ -105,6 +111,10 @@
         Event.RUN_ENDED,
         Event.REQUEST_GIVEN_UP,
         Event.REQUEST_REJECTED,
+        Event.REQUEST_DROPPED,
+        Event.RESPONSE_CUT,
+        Event.RUN_CANCELLED,
+        Event.ANSWER_UNSENT,
     )
 )
 REQUEST_LINES_PER_WINDOW = 2000
@@ -156,6 +166,12 @@
         self._lines_by_event[event] += 1
         return self._unreported_by_event.pop(event, 0)
 
+    def take_unreported(self) -> dict[Event, int]:
+        """Return the suppressed lines that no later line counts, by event, once."""
+        unreported = dict(self._unreported_by_event)
+        self._unreported_by_event.clear()
+        return unreported
+
 
 def _lines_per_window(event: Event) -> int:
     if event in _REQUEST_EVENTS:
@@ -176,6 +192,7 @@
         self.placement_level = logging.DEBUG
         self.limiter = EventLimiter()
         self.lock = threading.Lock()
+        self.stream: typing.TextIO | io.TextIOBase | None = None
 
 
 _context = _LogContext()
@@ -231,6 +248,7 @@
     :param stream: the stream to write lines to; standard error if None.
     """
     _context.instance = instance
+    _context.stream = stream
     _context.placement_level = LEVELS_BY_NAME[placement_level]
     # Without this, absl writes a line that is not JSON before the first event.
     absl.flags.FLAGS.mark_as_parsed()
@@ -279,6 +297,29 @@
     logger.log(event_level(event), event.name.lower(), extra=extra)
 
 
+def dropped_count() -> int:
+    """Return how many lines the reader of the log was too slow for."""
+    return getattr(_context.stream, "dropped", 0)
+
+
+def report_left_out() -> None:
+    """Log which lines were left out and are counted by no other line.
+
+    To be called before the process ends.
+    """
+    with _context.lock:
+        unreported = _context.limiter.take_unreported()
+    dropped = dropped_count()
+    if unreported or dropped:
+        emit(
+            Event.LINES_LEFT_OUT,
+            suppressed_by_event={
+                event.name.lower(): count for event, count in unreported.items()
+            },
+            dropped=dropped,
+        )
+
+
 def suppressed_by_event() -> dict[str, int]:
     """Return how many lines the rate limit suppressed, by name of the event."""
     with _context.lock:
--- a/src/savoryhollow/observe/output.py
+++ b/src/savoryhollow/observe/output.py
@@ -2,6 +2,8 @@
 
 import io
 import os
+import select
+import time
 
 __all__ = ["LossyStream"]
 
@@ -49,3 +51,14 @@
                 self._buffer.clear()
                 return
             del self._buffer[:written]
+
+    def finish(self, timeout_s: float) -> None:
+        """Write the rest of the buffer before the process ends.
+
+        :param timeout_s: how long to wait for a slow reader, in s.
+        """
+        deadline = time.monotonic() + timeout_s
+        self.flush()
+        while self._buffer and (remaining_s := deadline - time.monotonic()) > 0:
+            select.select((), (self._descriptor,), (), remaining_s)
+            self.flush()
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -26,6 +26,8 @@
 # interval between attempts to read it, in s.
 SETTINGS_WAIT_S = 2.0
 SETTINGS_RETRY_INTERVAL_S = 0.05
+# Time at the end for a slow reader of the log, in s.
+LOG_TIMEOUT_S = 0.05
 
 
 class Adapter:
@@ -270,7 +272,8 @@
     """
     path = early.settings_path()
     settings, last_stamp = _read_settings(path)
-    events.configure(settings.agent.instance, stream=output.LossyStream(1))
+    log = output.LossyStream(1)
+    events.configure(settings.agent.instance, stream=log)
     with asyncio.Runner() as runner:
         serving = _serve(
             path,
@@ -286,6 +289,9 @@
             remedy = f"name ports of this instance that are not in use: {error}"
             problem = errors.Problem(str(path), "listen", "-", remedy)
             raise errors.SettingsError([problem]) from error
+        log.finish(LOG_TIMEOUT_S)
+        events.report_left_out()
         logging.shutdown()
+        log.finish(LOG_TIMEOUT_S)
         # An ordinary exit would wait for links to peers that don't answer.
         os._exit(0 if drained else 1)
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -86,7 +86,9 @@
             self._clock,
         )
         self._caller_server = callers.Server(self.front.handle)
+        self._caller_server.request_id_header = dialect.request_id
         self._caller_server.on_rejected = self.front.record_rejected
+        self._caller_server.on_lost = self.front.record_lost
         self._caller_server.body_budget = body_budget.BodyBudget(
             settings.body_memory_bytes
         )
@@ -228,6 +230,7 @@
         """
         events.emit(events.Event.DAEMON_STOPPING)
         self.stopping = True
+        earlier = self.request_metrics.endings.copy()
         drained = await stopping.finish_requests(
             self.now if requested_at is None else requested_at,
             self.settings.stop_limit_s,
@@ -239,7 +242,9 @@
         )
         for task in self._tasks:
             task.cancel()
-        events.emit(events.Event.DAEMON_STOPPED, drained=drained)
+        self._caller_server.report_unfinished()
+        endings = dict(self.request_metrics.endings - earlier)
+        events.emit(events.Event.DAEMON_STOPPED, drained=drained, endings=endings)
         return drained
 
     async def reconfigure(self, settings: options.AgentSettings) -> list[str]:
--- a/src/savoryhollow/proxy/front.py
+++ b/src/savoryhollow/proxy/front.py
@@ -6,10 +6,10 @@
 
 from savoryhollow import calls
 from savoryhollow.configuration import routes
-from savoryhollow.http1 import messages
+from savoryhollow.http1 import losses, messages
 from savoryhollow.observe import events
 from savoryhollow.proxy import dialect as dialect_module
-from savoryhollow.proxy import request_metrics
+from savoryhollow.proxy import request_metrics, tasks
 
 __all__ = ["Front"]
 
@@ -75,22 +75,20 @@
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Return the response to one request; cancelled if its caller disconnects."""
-        if self.table is None:
-            await self._await_configuration()
-        routed = self._build_call(request)
-        if isinstance(routed, messages.Response):
-            return routed
-        call = routed.call
+        routed: _RoutedCall | messages.Response | None = None
         try:
-            outcome = await self._route_call(call, routed.route.max_attempts)
-        except asyncio.CancelledError:
-            self._metrics.record_abandonment(routed.route.name)
-            events.emit(
-                events.Event.REQUEST_ABANDONED,
-                request_id=call.request_id,
-                route=routed.route.name,
-                after_ms=round(1000 * (self._clock() - request.received_at)),
-            )
+            if self.table is None:
+                await self._await_configuration()
+            routed = self._build_call(request)
+            if isinstance(routed, messages.Response):
+                return routed
+            outcome = await self._route_call(routed.call, routed.route.max_attempts)
+        except asyncio.CancelledError as error:
+            route = routed.route.name if isinstance(routed, _RoutedCall) else ""
+            self._record_abandoned(request, route, str(error))
+            raise
+        except Exception as error:
+            tasks.log_failure("handle", error)
             raise
         return self._build_response(routed, outcome, request.received_at)
 
@@ -166,6 +164,36 @@
             )
         return messages.Response(status, headers)
 
+    def _record_abandoned(
+        self, request: messages.Request, route: str, reason: str
+    ) -> None:
+        request_id = messages.find_header(request.headers, self._dialect.request_id)
+        self._metrics.record_abandonment(route)
+        events.emit(
+            events.Event.REQUEST_ABANDONED,
+            request_id=(request_id or "")[:MAX_REQUEST_ID_LENGTH],
+            route=route,
+            reason=reason,
+            after_ms=self._age_ms(request.received_at),
+        )
+
+    def _age_ms(self, received_at: float) -> int:
+        return round(1000 * (self._clock() - received_at))
+
+    def record_lost(self, loss: losses.Loss) -> None:
+        """Log and count a request that was read and gets no response."""
+        self._metrics.record_loss(loss.stage.value, loss.reason.value)
+        event = events.Event.REQUEST_DROPPED
+        if loss.stage is losses.Stage.RESPONSE:
+            event = events.Event.RESPONSE_CUT
+        events.emit(
+            event,
+            request_id=loss.request_id[:MAX_REQUEST_ID_LENGTH],
+            stage=loss.stage.value,
+            reason=loss.reason.value,
+            after_ms=self._age_ms(loss.received_at),
+        )
+
     def record_rejected(self, status: int, headers: tuple[calls.Header, ...]) -> None:
         """Log and count a request that was rejected while it was being read."""
         request_id = messages.find_header(headers, self._dialect.request_id) or ""
--- a/src/savoryhollow/proxy/gate.py
+++ b/src/savoryhollow/proxy/gate.py
@@ -85,8 +85,18 @@
         :param call: the request.
         """
         self.in_progress += 1
+        started = self._clock()
         try:
             return await self._serve(call)
+        except asyncio.CancelledError as error:
+            events.emit(
+                events.Event.RUN_CANCELLED,
+                request_id=call.request_id,
+                endpoint_id=call.expected_endpoint,
+                reason=str(error),
+                after_ms=round(1000 * (self._clock() - started)),
+            )
+            raise
         finally:
             self.in_progress -= 1
 
--- a/src/savoryhollow/proxy/inner.py
+++ b/src/savoryhollow/proxy/inner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import enum
 
 import websockets
 import websockets.asyncio.server
@@ -17,6 +18,16 @@
 # Time for the peers to close their connections after this daemon has, in s.
 CLOSE_TIMEOUT_S = 0.2
 
+
+class CancelReason(enum.Enum):
+    """Why the gate's work on a request of another daemon is cancelled."""
+
+    # Its router needs no answer any more.
+    BY_ROUTER = "by-router"
+    LINK_CLOSED = "link-closed"
+    PROCESS_ENDED = "process-ended"
+
+
 # The connection of a daemon that asked for load reports.
 Listener = websockets.asyncio.server.ServerConnection
 
@@ -44,6 +55,7 @@
         self._replica = replica
         self._clock = clock
         self._dictionary = dictionary
+        self._closing = False
         self._servers: list[websockets.asyncio.server.Server] = []
         self._report_intervals_by_listener: dict[Listener, float] = {}
         self._followers: set[websockets.asyncio.server.ServerConnection] = set()
@@ -96,6 +108,7 @@
 
     async def close(self) -> None:
         """Stop listening and close every connection, with a bound in time."""
+        self._closing = True
         for server in self._servers:
             server.close()
         closing = [asyncio.create_task(one.wait_closed()) for one in self._servers]
@@ -126,8 +139,11 @@
             self._report_intervals_by_listener.pop(connection, None)
             self._followers.discard(connection)
             self._connections.discard(connection)
+            reason = CancelReason.LINK_CLOSED
+            if self._closing:
+                reason = CancelReason.PROCESS_ENDED
             for task in tuple(tasks_by_id.values()):
-                task.cancel()
+                task.cancel(reason.value)
 
     def _start_call(self, connection, call, tasks_by_id, is_packed: bool) -> None:
         serving = self._serve_call(connection, call, is_packed)
@@ -139,7 +155,7 @@
         if isinstance(message, messages.CancelMessage):
             task = tasks_by_id.get(message.request_id)
             if task is not None:
-                task.cancel()
+                task.cancel(CancelReason.BY_ROUTER.value)
         elif isinstance(message, messages.HelloMessage):
             if message.version != messages.PROTOCOL_VERSION:
                 text = (
@@ -152,7 +168,7 @@
         elif isinstance(message, messages.SubscribeMessage):
             self._followers.add(connection)
             update = self._replica.message_since(message.known_revision, self._clock())
-            tasks.spawn(self._send(connection, codec.encode(update)))
+            tasks.spawn(self._send_update(connection, codec.encode(update)))
 
     async def _serve_call(
         self, connection, call: messages.CallMessage, is_packed: bool
@@ -162,7 +178,8 @@
             data = codec.encode_packed(answer, self._dictionary)
         else:
             data = codec.encode(answer)
-        await self._send(connection, data)
+        if not await self._send(connection, data):
+            events.emit(events.Event.ANSWER_UNSENT, request_id=call.request_id)
 
     async def _answer(self, call: messages.CallMessage) -> gate_module.Answer:
         try:
@@ -173,9 +190,14 @@
             detail = "internal error of the gate; check its log"
             return messages.UnknownMessage(call.request_id, detail, self._gate.report())
 
-    async def _send(self, connection, data: bytes) -> None:
+    async def _send_update(self, connection, data: bytes) -> None:
+        await self._send(connection, data)
+
+    async def _send(self, connection, data: bytes) -> bool:
+        """Send a message; return False if the connection is closed."""
         try:
             await connection.send(data)
         except websockets.ConnectionClosed:
             # The peer detects the loss itself and decides what may have run.
-            return
+            return False
+        return True
--- a/src/savoryhollow/proxy/request_metrics.py
+++ b/src/savoryhollow/proxy/request_metrics.py
@@ -1,5 +1,7 @@
 """Counters, gauges and latency histograms of the event-loop daemon."""
 
+import collections
+
 import aioprometheus
 import aioprometheus.collectors
 import aioprometheus.formats.text
@@ -23,6 +25,11 @@
         self._abandoned = self._counter(
             "abandoned_total", "Requests whose caller left first."
         )
+        self._lost = self._counter(
+            "lost_total", "Requests that were read and got no response."
+        )
+        # How requests ended, in words for the log.
+        self.endings: collections.Counter[str] = collections.Counter()
         self._latency = aioprometheus.Histogram(
             "savoryhollow_answer_seconds",
             "Time from a request to its answer.",
@@ -34,18 +41,26 @@
 
     def record_response(self, route: str, status: int, took_s: float) -> None:
         """Count a response and record its latency."""
+        self.endings[f"answered-{status}"] += 1
         name = self._route_label(route)
         self._answers.inc({"route": name, "status": str(status)})
         self._latency.observe({"route": name}, took_s)
 
     def record_refusal(self, route: str, reason: str) -> None:
         """Count a refused request."""
+        self.endings[f"refused-{reason}"] += 1
         self._refusals.inc({"route": self._route_label(route), "reason": reason})
 
     def record_abandonment(self, route: str) -> None:
         """Count a request whose caller disconnected before the response."""
+        self.endings["abandoned"] += 1
         self._abandoned.inc({"route": self._route_label(route)})
 
+    def record_loss(self, stage: str, reason: str) -> None:
+        """Count a request that was read and got no response."""
+        self.endings[f"{stage}-{reason}"] += 1
+        self._lost.inc({"stage": stage, "reason": reason})
+
     def set_gauge(self, name: str, text: str, value: float) -> None:
         """Set a gauge, creating it on first use."""
         gauge = self._gauges.get(name)
--- a/src/savoryhollow/proxy/state.py
+++ b/src/savoryhollow/proxy/state.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from savoryhollow.observe import events
+
 if typing.TYPE_CHECKING:
     from savoryhollow.proxy import agent as agent_module
 
@@ -31,6 +33,14 @@
         ),
         "platform_contact": ("Whether it answers.", agent.replica.in_contact),
         "backend_connections": ("Connections opened.", agent.runner.pool.opened_count),
+        "log_lines_suppressed": (
+            "Log lines beyond the limits.",
+            sum(events.suppressed_by_event().values()),
+        ),
+        "log_lines_dropped": (
+            "Log lines that their reader was too slow for.",
+            events.dropped_count(),
+        ),
         "links": ("Links to other daemons.", len(agent.router.links_by_host)),
     }
 
