Let overlapping signals neither hinder nor cut a stop of the threaded daemon

What was seen: of five daemons that got SIGTERM again and again for 0.1 s, one didn't end within 12 s and was killed, so everything that it still served would have been cut; four ended by a later signal (exit status -15) instead of status 0.

Cause: the handler set a threading.Event. Its lock isn't reentrant, so a handler that interrupts another one, or the main thread at the moment at which it begins to wait, waits for ever. And the interpreter restores the default action of signals while it exits, so that a late signal ends it there.

Now the handler puts the signal into a SimpleQueue, whose `put` is reentrant, and later signals are ignored once the stop has begun.

--- a/src/savoryhollow/daemon/process.py
+++ b/src/savoryhollow/daemon/process.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import pathlib
+import queue
 import signal
 import threading
 
@@ -16,6 +17,7 @@
 
 # Time that a shutdown may take in addition to the drain limit, in s.
 STOP_MARGIN_S = 2.0
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 def run(path: pathlib.Path) -> int:
@@ -31,16 +33,20 @@
     events.configure(
         settings.endpoint_id, settings.log_level, settings.placement_log_level
     )
-    stop_requested = threading.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(signal_number, lambda *_: stop_requested.set())
+    # A handler may interrupt another one, which an event doesn't allow for.
+    stop_requests: queue.SimpleQueue[int] = queue.SimpleQueue()
+    for signal_number in STOP_SIGNALS:
+        signal.signal(signal_number, lambda number, _: stop_requests.put(number))
     daemon = _create_daemon(settings, path)
     daemon.start()
     gc.collect()
     # Objects that exist now live as long as the process. Exclude them from garbage
     # collection.
     gc.freeze()
-    stop_requested.wait()
+    stop_requests.get()
+    for signal_number in STOP_SIGNALS:
+        # Otherwise another one could end the process while it exits.
+        signal.signal(signal_number, signal.SIG_IGN)
     return _stop_within(daemon, settings.drain_limit_ms / 1000 + STOP_MARGIN_S)
 
 
