Give no memory back that a body was never granted

A chunked body is counted once it exceeds 1 MiB. If no memory was free then, but the rest of the body had been received together with that part, the request was served all the same, and with its response gave back memory that it never had, when the response closed the connection. From then on the budget was too large by that much, so that later bodies could take a process beyond its memory limit, and all its requests would have ended with it.

Now such a request gives up its place among those that wait, and gives nothing back.

Found by reading; not seen in a run of the whole daemon.

--- a/src/savoryhollow/http1/caller_connection.py
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -222,6 +222,9 @@
             self._refusal_bytes = len(messages.render_response(refusal))
             self._refuse(refusal)
             return
+        if self._memory.is_waiting:
+            # The last part of the body came together with its end, so it is held.
+            self._memory.release()
         request = messages.Request(
             method=self._parser.get_method().decode("latin-1"),
             target=self._target.decode("latin-1"),
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -6,13 +6,20 @@
 
 import asyncio
 import contextlib
+from unittest import mock
 
 import pytest
 import test_agent
 import test_http1
 
 from savoryhollow import calls
-from savoryhollow.http1 import backends, body_budget, callers, messages
+from savoryhollow.http1 import (
+    backends,
+    body_budget,
+    caller_connection,
+    callers,
+    messages,
+)
 from savoryhollow.membership import directory, table
 from savoryhollow.proxy import attempts, router
 
@@ -145,6 +152,33 @@
     test_http1.run_with_timeout(main)
 
 
+def test_a_body_that_ends_before_its_memory_is_granted_gives_none_back():
+    """Memory that was never granted was given back, so later bodies took too much."""
+
+    async def main():
+        async with serving() as (server, recorder):
+            budget = server.body_budget
+            assert budget.reserve(LIMIT, lambda: None)
+            connection = caller_connection.CallerConnection(server)
+            transport = mock.create_autospec(asyncio.Transport)
+            transport.is_closing.return_value = False
+            transport.get_write_buffer_size.return_value = 0
+            transport.get_extra_info.return_value = None
+            connection.connection_made(transport)
+            lines = ["POST /a HTTP/1.1", "Host: x", "Connection: close"]
+            lines += ["Transfer-Encoding: chunked", "", f"{MIB:x}", MIB * "x", "0"]
+            connection.data_received("\r\n".join([*lines, "", ""]).encode())
+            recorder.released.release()
+            await test_http1.wait_until(lambda: not connection.pending_count)
+            connection.connection_lost(None)
+            assert recorder.lengths == [MIB]
+            assert not budget._waiting
+            budget.release(LIMIT)
+            assert budget._used_bytes == 0
+
+    test_http1.run_with_timeout(main)
+
+
 def test_memory_is_granted_in_order():
     budget = body_budget.BodyBudget(LIMIT)
     granted = []
