Wait longer for valid settings, and reject ports that don't exist

What callers saw: a daemon ended while it started, and its callers with it, although the settings file was put right a moment later (FAULT).

Cause: what a process meets in its first moments was taken as final. It waited 2 s for a settings file that is missing, empty or half written.

Ports are now validated like all else, at the start and for a running daemon, which keeps its settings then. The wait is 10 s; SIGTERM ends it at once, as the platform would kill the process before its end. Bounds that aren't finite are not used.

--- a/src/savoryhollow/platform/boot.py
+++ b/src/savoryhollow/platform/boot.py
@@ -1,5 +1,6 @@
 """Read the settings file that the platform writes on each instance."""
 
+import math
 import pathlib
 import tomllib
 
@@ -11,6 +12,7 @@
 
 __all__ = ["BootSettings", "read"]
 
+MAX_PORT = 65_535
 # Port on which metrics are served; ``deploy/system.toml`` contains it too.
 METRICS_PORT = 9464
 # Defaults of bounds that the file doesn't contain.
@@ -132,20 +134,28 @@
 def _parse_bounds(texts: list[str]) -> dict[str, float]:
     values_by_name = {}
     for text in texts:
-        name, _, value = text.partition("=")
+        name, _, text_value = text.partition("=")
         try:
-            values_by_name[name] = float(value)
+            value = float(text_value)
         except ValueError:
             # Bounds that aren't numbers, such as true and false, aren't used here.
             continue
+        if math.isfinite(value):
+            values_by_name[name] = value
     return values_by_name
 
 
 def _parse_address(text: str) -> models.Address:
-    host, _, port = text.rpartition(":")
-    return models.Address(host, int(port))
+    return models.Address(*_split_address(text))
 
 
 def _parse_target(text: str) -> models.Target:
-    host, _, port = text.rpartition(":")
-    return models.Target(host, int(port))
+    return models.Target(*_split_address(text))
+
+
+def _split_address(text: str) -> tuple[str, int]:
+    host, _, port_text = text.rpartition(":")
+    port = int(port_text)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"{text} has no valid port")
+    return host, port
--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -24,7 +24,7 @@
 SETTINGS_CHECK_INTERVAL_S = 0.5
 # Time after the start in which the platform may still be writing the settings file, and
 # interval between attempts to read it, in s.
-SETTINGS_WAIT_S = 2.0
+SETTINGS_WAIT_S = 10.0
 SETTINGS_RETRY_INTERVAL_S = 0.05
 # Time at the end for a slow reader of the log, in s.
 LOG_TIMEOUT_S = 0.05
@@ -237,12 +237,18 @@
     return None
 
 
-def _read_settings(path: pathlib.Path) -> tuple[boot.BootSettings, tuple[int, int]]:
+def _read_settings(
+    path: pathlib.Path, stop_request_times: list[float]
+) -> tuple[boot.BootSettings, tuple[int, int]]:
     """Return the settings, and the file's stamp from before they were read.
 
     The platform may replace the file while the process starts.
 
-    :raises errors.SettingsError: if the settings stay invalid.
+    :param path: the settings file.
+    :param stop_request_times: the monotonic times, in s, of the signals to stop so
+        far; later ones are added.
+    :raises errors.SettingsError: if the settings stay invalid, or are invalid when the
+        process is to stop.
     """
     deadline = time.monotonic() + SETTINGS_WAIT_S
     while True:
@@ -250,7 +256,7 @@
         try:
             return boot.read(path), stamp
         except errors.SettingsError:
-            if time.monotonic() >= deadline:
+            if stop_request_times or time.monotonic() >= deadline:
                 raise
         time.sleep(SETTINGS_RETRY_INTERVAL_S)
 
@@ -271,7 +277,7 @@
         opened.
     """
     path = early.settings_path()
-    settings, last_stamp = _read_settings(path)
+    settings, last_stamp = _read_settings(path, stop_request_times)
     log = output.LossyStream(1)
     events.configure(settings.agent.instance, stream=log)
     with asyncio.Runner() as runner:
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -115,17 +115,42 @@
         assert daemon.returncode == 0
 
 
-def test_a_daemon_waits_for_settings_that_are_being_written(tmp_path):
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda text: text[: len(text) // 2],
+        lambda text: None,
+        lambda text: text.replace(":8147", ":70000"),
+        lambda text: text.replace(":8142", ":70000"),
+    ],
+    ids=["half-written", "missing", "front-port", "store-port"],
+)
+@pytest.mark.parametrize("wait_s", [1.0, 3.0])
+def test_a_daemon_waits_for_settings_that_are_being_written(tmp_path, spoil, wait_s):
+    """It used to end, after 2 s or at once, or used a port that doesn't exist."""
     path = tmp_path / "settings"
     ip = reserve_ip()
     text = settings_text(ip)
-    path.write_text(text[: len(text) // 2])
+    spoiled = spoil(text)
+    if spoiled is not None:
+        path.write_text(spoiled)
     with running_daemon(path) as daemon:
-        time.sleep(1.0)
+        time.sleep(wait_s)
+        assert daemon.poll() is None
+        with pytest.raises(OSError):
+            socket.create_connection((ip, 8141), 1.0)
         path.write_text(text)
         wait_until_ready_port_opens(daemon, ip)
 
 
+def test_sigterm_ends_a_daemon_that_waits_for_settings(tmp_path):
+    """Else it waits on, and is killed."""
+    with running_daemon(tmp_path / "settings") as daemon:
+        time.sleep(1.0)
+        daemon.send_signal(signal.SIGTERM)
+        assert daemon.wait(boot.DEFAULT_GRACE_S) == 1
+
+
 @pytest.mark.parametrize("port", [8146, 8147, 9464], ids=["inner", "front", "metrics"])
 def test_a_daemon_starts_although_a_port_is_still_in_use(tmp_path, port):
     path = tmp_path / "settings"
