Count bodies from 16 KiB on against the memory of a daemon

What callers saw: nothing yet on the users' machines that can be told; a daemon over its memory_mb is killed, with all requests on it (FAULT, LOST).

Cause: bodies under 1 MiB weren't counted, though they are held as long, and copied as often, as longer ones. The class is that of the long bodies: memory that grows with what others send.

Bodies under 1 MiB have a fifth of the memory for themselves, so that one long body, which may take all of the rest, doesn't make them wait. A chunked body reserves for 1 MiB first and for the longest allowed body when it exceeds that; it keeps the first part while it waits for the second, which can't deadlock as the parts are separate. A body whose end was read together with what exceeded the limit stops to wait: it was released without ever having been granted.

The new tests failed before (test_many_bodies_that_are_not_long_wait_for_memory_too). The test of the order is the same on the pool that keeps the order; two others read the used memory by its public name.

--- a/src/savoryhollow/http1/body_budget.py
+++ b/src/savoryhollow/http1/body_budget.py
@@ -1,13 +1,14 @@
-"""Bound the memory that the long bodies of requests take.
+"""Bound the memory that the bodies of requests take.
 
 A body is held until its request is answered, and is copied on its way to the backend
-server. Callers whose bodies don't fit wait: their connections aren't read.
+server. Callers whose bodies don't fit wait: their connections aren't read. Long bodies
+have a part of the memory of their own, so that the others don't wait for them.
 """
 
 import collections
 import collections.abc
 
-__all__ = ["BodyBudget", "Reservation"]
+__all__ = ["LONG_BODY_BYTES", "BodyBudget", "MemoryPool", "Reservation"]
 
 # Copies of a body that exist at one time at most: received, put together, encoded for
 # another daemon, and waiting to be sent.
@@ -15,7 +16,11 @@
 # Copies of a body that is sent to the local backend server.
 MIN_COPIES = 2
 # Shorter bodies are not counted, in bytes.
-MIN_COUNTED_BYTES = 1 << 20
+MIN_COUNTED_BYTES = 1 << 14
+# Length of a long body, in bytes.
+LONG_BODY_BYTES = 1 << 20
+# Part of the memory for bodies that aren't long.
+SHORT_BODY_SHARE = 0.2
 
 OnGranted = collections.abc.Callable[[], None]
 
@@ -27,22 +32,33 @@
     """
 
     def __init__(self, limit_bytes: int):
-        self._limit_bytes = limit_bytes
-        self._used_bytes = 0
-        self._waiting: collections.deque[tuple[int, OnGranted]] = collections.deque()
+        short_bytes = int(SHORT_BODY_SHARE * limit_bytes)
+        self._short_bodies = MemoryPool(short_bytes)
+        self._long_bodies = MemoryPool(limit_bytes - short_bytes)
+
+    @property
+    def used_bytes(self) -> int:
+        """The memory that is reserved, in bytes."""
+        return self._short_bodies.used_bytes + self._long_bodies.used_bytes
+
+    @property
+    def waiting_count(self) -> int:
+        """The number of bodies that wait for memory."""
+        return len(self._short_bodies.waiting) + len(self._long_bodies.waiting)
 
     def fits(self, body_bytes: int) -> bool:
         """Return whether a body of this size can be held at all."""
         return (
-            body_bytes < MIN_COUNTED_BYTES
-            or MIN_COPIES * body_bytes <= self._limit_bytes
+            body_bytes < LONG_BODY_BYTES
+            or MIN_COPIES * body_bytes <= self._long_bodies.limit_bytes
         )
 
     def cost_bytes(self, body_bytes: int) -> int:
-        """Return the memory that a body takes; a very long one takes everything."""
+        """Return the memory that a body takes; a very long one takes all there is."""
         if body_bytes < MIN_COUNTED_BYTES:
             return 0
-        return min(MAX_COPIES * body_bytes, self._limit_bytes)
+        cost_bytes = MAX_COPIES * body_bytes
+        return min(cost_bytes, self._pool(cost_bytes).limit_bytes)
 
     def reserve(self, cost_bytes: int, on_granted: OnGranted) -> bool:
         """Reserve memory, or wait for it.
@@ -51,76 +67,116 @@
         :param on_granted: called once the memory is reserved, if it wasn't at once.
         :returns: True if it is reserved.
         """
-        if not self._waiting and self._used_bytes + cost_bytes <= self._limit_bytes:
-            self._used_bytes += cost_bytes
+        return self._pool(cost_bytes).reserve(cost_bytes, on_granted)
+
+    def withdraw(self, on_granted: OnGranted) -> None:
+        """Stop waiting for memory."""
+        self._short_bodies.withdraw(on_granted)
+        self._long_bodies.withdraw(on_granted)
+
+    def release(self, cost_bytes: int) -> None:
+        """Give reserved memory back."""
+        if cost_bytes:
+            self._pool(cost_bytes).release(cost_bytes)
+
+    def _pool(self, cost_bytes: int) -> "MemoryPool":
+        is_long = cost_bytes > MAX_COPIES * LONG_BODY_BYTES
+        return self._long_bodies if is_long else self._short_bodies
+
+
+class MemoryPool:
+    """One part of the memory, and those who wait for it.
+
+    The attribute ``used_bytes`` is what is reserved; ``waiting`` are those who wait.
+
+    :param limit_bytes: the size of the part, in bytes.
+    """
+
+    def __init__(self, limit_bytes: int):
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+        self.waiting: collections.deque[tuple[int, OnGranted]] = collections.deque()
+
+    def reserve(self, cost_bytes: int, on_granted: OnGranted) -> bool:
+        """Reserve memory, or wait for it; see :meth:`BodyBudget.reserve`."""
+        if not self.waiting and self.used_bytes + cost_bytes <= self.limit_bytes:
+            self.used_bytes += cost_bytes
             return True
-        self._waiting.append((cost_bytes, on_granted))
+        self.waiting.append((cost_bytes, on_granted))
         return False
 
     def withdraw(self, on_granted: OnGranted) -> None:
         """Stop waiting for memory."""
-        self._waiting = collections.deque(
-            one for one in self._waiting if one[1] != on_granted
+        self.waiting = collections.deque(
+            one for one in self.waiting if one[1] != on_granted
         )
         self._grant()
 
     def release(self, cost_bytes: int) -> None:
         """Give reserved memory back."""
-        self._used_bytes -= cost_bytes
+        self.used_bytes -= cost_bytes
         self._grant()
 
     def _grant(self) -> None:
-        while self._waiting:
-            cost_bytes, on_granted = self._waiting[0]
-            if self._used_bytes + cost_bytes > self._limit_bytes:
+        while self.waiting:
+            cost_bytes, on_granted = self.waiting[0]
+            if self.used_bytes + cost_bytes > self.limit_bytes:
                 return
-            self._waiting.popleft()
-            self._used_bytes += cost_bytes
+            self.waiting.popleft()
+            self.used_bytes += cost_bytes
             on_granted()
 
 
 class Reservation:
     """The memory for the body that is being read from one connection.
 
+    The attribute ``held_bytes`` is what is reserved.
+
     :param budget: the budget of the server.
     :param on_granted: called once memory that it had to wait for is reserved.
     """
 
     def __init__(self, budget: BodyBudget, on_granted: OnGranted):
-        self.is_waiting = False
+        self.held_bytes = 0
+        self._awaited_bytes = 0
         self._budget = budget
         self._on_granted = on_granted
-        self._cost_bytes = 0
 
     @property
-    def is_held(self) -> bool:
-        """Whether memory is reserved or waited for."""
-        return self._cost_bytes > 0
+    def is_waiting(self) -> bool:
+        """Whether memory is waited for."""
+        return self._awaited_bytes > 0
 
     def reserve(self, body_bytes: int) -> None:
-        """Reserve memory for a body, or wait for it.
+        """Reserve memory for a body in place of what is held, or wait for it.
 
         :param body_bytes: the length of the body, in bytes.
         """
-        self._cost_bytes = self._budget.cost_bytes(body_bytes)
-        if self._cost_bytes:
-            granted = self._budget.reserve(self._cost_bytes, self._grant)
-            self.is_waiting = not granted
+        cost_bytes = self._budget.cost_bytes(body_bytes)
+        if self.is_waiting or cost_bytes <= self.held_bytes:
+            return
+        self._awaited_bytes = cost_bytes
+        if self._budget.reserve(cost_bytes, self._grant):
+            self._replace()
 
     def _grant(self) -> None:
-        self.is_waiting = False
+        self._replace()
         self._on_granted()
 
+    def _replace(self) -> None:
+        """Hold the memory that was granted in place of the former."""
+        former_bytes, self.held_bytes = self.held_bytes, self._awaited_bytes
+        self._awaited_bytes = 0
+        self._budget.release(former_bytes)
+
     def take(self) -> int:
-        """Hand the reserved memory over; return it, in bytes."""
-        cost_bytes, self._cost_bytes = self._cost_bytes, 0
-        return cost_bytes
+        """Hand the reserved memory over and wait for no more; return it, in bytes."""
+        if self._awaited_bytes:
+            self._awaited_bytes = 0
+            self._budget.withdraw(self._grant)
+        held_bytes, self.held_bytes = self.held_bytes, 0
+        return held_bytes
 
     def release(self) -> None:
         """Give the memory back."""
-        if self.is_waiting:
-            self.is_waiting = False
-            self._budget.withdraw(self._grant)
-            self._cost_bytes = 0
-        elif self._cost_bytes:
-            self._budget.release(self.take())
+        self._budget.release(self.take())
--- a/src/savoryhollow/http1/caller_connection.py
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -174,9 +174,10 @@
             self._reject(413)
         elif not budget.fits(len(self._body)):
             self._refuse(NO_MEMORY_RESPONSE)
-        elif budget.cost_bytes(len(self._body)) and not self._memory.is_held:
+        elif budget.cost_bytes(len(self._body)) > self._memory.held_bytes:
             # A chunked body, whose length isn't known before its end.
-            self._reserve_memory(limit)
+            is_long = len(self._body) > body_budget.LONG_BODY_BYTES
+            self._reserve_memory(limit if is_long else body_budget.LONG_BODY_BYTES)
 
     def _reserve_length(self, body_bytes: int) -> None:
         """Reserve memory for a body whose length is known, unless it is too long."""
@@ -222,9 +223,6 @@
             self._refusal_bytes = len(messages.render_response(refusal))
             self._refuse(refusal)
             return
-        if self._memory.is_waiting:
-            # The last part of the body came together with its end, so it is held.
-            self._memory.release()
         request = messages.Request(
             method=self._parser.get_method().decode("latin-1"),
             target=self._target.decode("latin-1"),
@@ -235,6 +233,7 @@
         )
         # What comes next isn't part of this request.
         self._reset_message()
+        # The end of the body may have come before the memory for it was granted.
         entry = pipeline.PipelinedRequest(request, reserved_bytes=self._memory.take())
         self._pipeline.append(entry)
         if len(self._pipeline) >= MAX_PIPELINED:
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -89,7 +89,7 @@
                 recorder.released.release()
             assert await asyncio.gather(*uploads) == [200, 200, 200]
             await test_http1.wait_until(lambda: len(server.connections) == 1)
-            assert server.body_budget._used_bytes == 0
+            assert server.body_budget.used_bytes == 0
 
     test_http1.run_with_timeout(main)
 
@@ -115,7 +115,7 @@
             assert await upload(server, LIMIT // 2 + MIB, chunked) == 503
             assert recorder.lengths == []
             await test_http1.wait_until(lambda: len(server.connections) == 1)
-            assert server.body_budget._used_bytes == 0
+            assert server.body_budget.used_bytes == 0
 
     test_http1.run_with_timeout(main)
 
@@ -127,11 +127,11 @@
             first = asyncio.create_task(upload(server, LONG))
             await test_http1.wait_until(lambda: recorder.lengths)
             waiting = asyncio.create_task(upload(server, LONG))
-            await test_http1.wait_until(lambda: len(budget._waiting) == 1)
+            await test_http1.wait_until(lambda: budget.waiting_count == 1)
             last = asyncio.create_task(upload(server, LONG))
-            await test_http1.wait_until(lambda: len(budget._waiting) == 2)
+            await test_http1.wait_until(lambda: budget.waiting_count == 2)
             waiting.cancel()
-            await test_http1.wait_until(lambda: len(budget._waiting) == 1)
+            await test_http1.wait_until(lambda: budget.waiting_count == 1)
             first.cancel()
             await test_http1.wait_until(lambda: len(recorder.lengths) == 2)
             recorder.released.release()
@@ -158,7 +158,8 @@
     async def main():
         async with serving() as (server, recorder):
             budget = server.body_budget
-            assert budget.reserve(LIMIT, lambda: None)
+            long_bytes = budget.cost_bytes(LONG)
+            assert budget.reserve(long_bytes, lambda: None)
             connection = caller_connection.CallerConnection(server)
             transport = mock.create_autospec(asyncio.Transport)
             transport.is_closing.return_value = False
@@ -166,21 +167,21 @@
             transport.get_extra_info.return_value = None
             connection.connection_made(transport)
             lines = ["POST /a HTTP/1.1", "Host: x", "Connection: close"]
-            lines += ["Transfer-Encoding: chunked", "", f"{MIB:x}", MIB * "x", "0"]
+            lines += ["Transfer-Encoding: chunked", "", f"{LONG:x}", LONG * "x", "0"]
             connection.data_received("\r\n".join([*lines, "", ""]).encode())
             recorder.released.release()
             await test_http1.wait_until(lambda: not connection.pending_count)
             connection.connection_lost(None)
-            assert recorder.lengths == [MIB]
-            assert not budget._waiting
-            budget.release(LIMIT)
-            assert budget._used_bytes == 0
+            assert recorder.lengths == [LONG]
+            assert not budget.waiting_count
+            budget.release(long_bytes)
+            assert budget.used_bytes == 0
 
     test_http1.run_with_timeout(main)
 
 
 def test_memory_is_granted_in_order():
-    budget = body_budget.BodyBudget(LIMIT)
+    budget = body_budget.MemoryPool(LIMIT)
     granted = []
     assert budget.reserve(LIMIT, granted.append)
     assert not budget.reserve(MIB, lambda: granted.append("one"))
@@ -192,6 +193,55 @@
     assert granted == ["one", "two"]
 
 
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+def test_many_bodies_that_are_not_long_wait_for_memory_too(chunked):
+    """They weren't counted: 300 of 1 MB took a daemon over its memory."""
+
+    async def main():
+        async with serving() as (server, recorder):
+            uploads = [
+                asyncio.create_task(upload(server, MIB - 1, chunked)) for _ in range(12)
+            ]
+            await test_http1.wait_until(lambda: recorder.lengths)
+            await asyncio.sleep(0.3)
+            # Long bodies have memory of their own.
+            uploads.append(asyncio.create_task(upload(server, LONG)))
+            await test_http1.wait_until(lambda: LONG in recorder.lengths)
+            assert sorted(recorder.lengths) == [MIB - 1, LONG]
+            for _ in range(13):
+                recorder.released.release()
+            assert await asyncio.gather(*uploads) == 13 * [200]
+            await test_http1.wait_until(lambda: len(server.connections) == 1)
+            assert server.body_budget.used_bytes == 0
+
+    test_http1.run_with_timeout(main)
+
+
+def test_a_body_that_was_read_with_its_head_does_not_wait_for_memory():
+    """It would stay reserved without having been granted, once its caller left."""
+
+    async def main():
+        async with serving() as (server, recorder):
+            await test_http1.wait_until(lambda: server.connections)
+            others = set(server.connections)
+            _, writer = await connect(server)
+            await test_http1.wait_until(lambda: server.connections > others)
+            (connection,) = server.connections - others
+            first = asyncio.create_task(upload(server, MIB - 1))
+            await test_http1.wait_until(lambda: recorder.lengths)
+            head = b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 20000\r\n\r\n"
+            connection.data_received(head + 20_000 * b"x")
+            await test_http1.wait_until(lambda: len(recorder.lengths) == 2)
+            connection.close()
+            recorder.released.release()
+            assert await first == 200
+            writer.close()
+            await test_http1.wait_until(lambda: server.connections == others)
+            assert server.body_budget.used_bytes == 0
+
+    test_http1.run_with_timeout(main)
+
+
 def test_a_long_body_is_sent_to_a_backend_server_without_a_copy_of_all_of_it():
     async def main():
         received = []
