Open changed ports as soon as they are free

What callers saw: after a change of the settings file, a daemon that accepts no connections at its address, for callers or for the platform's readiness check, until it is restarted; the rest of the change is in force. Not seen on the users' machines; found by reading what SIGHUP does, and shown by a test.

Cause: the change was recorded as made before it was made. A port in use raised an error halfway; the next reading of the file found nothing changed, so the port was never tried again, nor the one after it. Besides, a port that was left stayed open, so the way back to it, or to the other server of the same process, failed in the same way.

Each changed port is now opened by a task of its own, which waits for as long as the port is in use and says so once; a newer change replaces it. The former port is left once the new one is open, or at once if the other server moves there. Open connections stay.

The new test failed before: OSError, address already in use, out of reconfigure().

--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -73,6 +73,7 @@
         self._listening_since: float | None = None
         self._started_at = float("-inf")
         self._server: asyncio.Server | None = None
+        self._address: tuple[str, int] | None = None
 
     @property
     def in_progress(self) -> int:
@@ -89,7 +90,7 @@
         listening_socket: socket.socket | None = None,
         listening_since: float | None = None,
     ) -> None:
-        """Start to accept connections.
+        """Start to accept connections, and stop to do so at a former address.
 
         :param host: the IP address to listen on.
         :param port: the port to listen on.
@@ -97,17 +98,27 @@
         :param listening_since: the time since which it has been listening, if
             connections may have waited for the start.
         """
+        if self._address == (host, port):
+            return
         if listening_socket is None:
             listening_socket = socket.create_server((host, port), backlog=BACKLOG)
             listening_since = None
         loop = asyncio.get_running_loop()
         self._listening_since = listening_since
         self._started_at = loop.time()
-        self._server = await loop.create_server(
+        server = await loop.create_server(
             lambda: caller_connection.CallerConnection(self),
             sock=listening_socket,
             backlog=BACKLOG,
         )
+        self.stop_listening()
+        self._server, self._address = server, (host, port)
+
+    def stop_listening(self) -> None:
+        """Accept no further connections; those that are open stay so."""
+        if self._server is not None:
+            self._server.close()
+        self._server = self._address = None
 
     def waiting_since(self, transport: asyncio.Transport) -> float | None:
         """Return when the data arrived that a new connection has waiting.
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -109,6 +109,7 @@
         self.runner.on_load = self._reporter.handle_load
         self.runner.may_send = lambda: not self.gate.leaving
         self._tasks: list[asyncio.Task[None]] = []
+        self._moves_by_port: dict[str, asyncio.Task[None]] = {}
 
     def _build_inner_port(self) -> inner.InnerPort:
         return inner.InnerPort(
@@ -240,7 +241,7 @@
             self._reporter,
             self._inner_port,
         )
-        for task in self._tasks:
+        for task in (*self._tasks, *self._moves_by_port.values()):
             task.cancel()
         self._caller_server.report_unfinished()
         endings = dict(self.request_metrics.endings - earlier)
@@ -267,13 +268,27 @@
             self._applied_generation = -1
         if "backend" in changed:
             self.runner.change_address(settings.backend.host, settings.backend.port)
-        if "front" in changed:
-            await self._caller_server.start(settings.front.host, settings.front.port)
-        if "readiness" in changed:
-            address = settings.readiness
-            await self._readiness_server.start(address.host, address.port)
+        self._move_ports(old_settings, changed)
         return changed
 
+    def _move_ports(
+        self, old_settings: options.AgentSettings, changed: list[str]
+    ) -> None:
+        """Listen on changed addresses as soon as they aren't in use."""
+        servers = {"front": self._caller_server, "readiness": self._readiness_server}
+        servers_by_port = {name: servers[name] for name in servers if name in changed}
+        new_addresses = [getattr(self.settings, name) for name in servers_by_port]
+        for name, server in servers_by_port.items():
+            if getattr(old_settings, name) in new_addresses:
+                server.stop_listening()
+        for name, server in servers_by_port.items():
+            address = getattr(self.settings, name)
+            start = functools.partial(server.start, address.host, address.port)
+            if name in self._moves_by_port:
+                self._moves_by_port[name].cancel()
+            moving = ports.keep_opening_port(name, start)
+            self._moves_by_port[name] = tasks.spawn(moving)
+
     # -----------------------------------------------------------------------
     #   Configuration and membership
     # -----------------------------------------------------------------------
--- a/src/savoryhollow/proxy/ports.py
+++ b/src/savoryhollow/proxy/ports.py
@@ -1,10 +1,12 @@
-"""Open the ports of a daemon when it starts."""
+"""Open the ports of a daemon when it starts or its settings change."""
 
 import asyncio
 import collections.abc
 import errno
 
-__all__ = ["open_port"]
+from savoryhollow.proxy import tasks
+
+__all__ = ["keep_opening_port", "open_port"]
 
 # Time that a port may still be in use, such as by an earlier process, in s.
 PORT_WAIT_S = 3.0
@@ -29,3 +31,22 @@
             if error.errno not in TEMPORARY_ERRORS or clock() >= deadline:
                 raise
         await asyncio.sleep(RETRY_INTERVAL_S)
+
+
+async def keep_opening_port(
+    name: str, start: collections.abc.Callable[[], collections.abc.Awaitable[None]]
+) -> None:
+    """Start to listen; wait for as long as the address can't be used.
+
+    :param name: the name of the port in log lines.
+    :param start: the coroutine function that listens.
+    """
+    is_logged = False
+    while True:
+        try:
+            return await start()
+        except OSError as error:
+            if not is_logged:
+                tasks.log_failure(name, error)
+            is_logged = True
+        await asyncio.sleep(RETRY_INTERVAL_S)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,10 +1,12 @@
 """Complete daemons on loopback: readiness, configuration, seeds and settings."""
 
 import asyncio
+import contextlib
 import dataclasses
 import json
+import socket
 
-from savoryhollow import calls
+from savoryhollow import calls, errors
 from savoryhollow.configuration import routes
 from savoryhollow.http1 import backends, callers
 from savoryhollow.http1 import messages as http
@@ -292,6 +294,42 @@
     run_with_timeout(main)
 
 
+def test_changed_ports_are_opened_once_they_are_free():
+    """One in use ended the change of settings halfway, and was never tried again.
+
+    A port that was left stayed open, so the way back to it failed as well.
+    """
+
+    async def main():
+        agent = make_agent()
+        await agent.start()
+        agent.configure(ROUTE_TABLE)
+        with socket.create_server((HOST, 0)) as other:
+            front = models.Address(*other.getsockname())
+            with socket.create_server((HOST, 0)) as free:
+                readiness = models.Address(*free.getsockname())
+            one = make_settings(front=front, readiness=readiness)
+            assert await agent.reconfigure(one) == ["front", "readiness"]
+            await wait_for_status(readiness.port, headers.DIALECT.readiness_path, 200)
+        await wait_for_status(front.port, "/a", 404)
+        # The ports change places, and back.
+        for settings in (make_settings(front=readiness, readiness=front), one):
+            await agent.reconfigure(settings)
+            await wait_for_status(settings.front.port, "/a", 404)
+            path = headers.DIALECT.readiness_path
+            await wait_for_status(settings.readiness.port, path, 200)
+
+    run_with_timeout(main)
+
+
+async def wait_for_status(port, target, status):
+    found = None
+    while found != status:
+        await asyncio.sleep(0.01)
+        with contextlib.suppress(errors.BackendError):
+            found = (await get(port, target)).status
+
+
 def test_metrics_and_dump_are_served_on_the_metrics_address():
     async def main():
         agent = make_agent()
