Soak: series of stops that overlap, eager callers, and a check of the log

New checks: a request that was read and got no answer is named in its daemon's log; daemons that nobody stops cut at most three requests that were passed on. A drain binds an instance in touch also while other instances are disturbed: the disturbances of the sender and of the endpoint excuse, no longer all.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 from savoryhollow.platform import headers
 from soak import layout, records
 
-__all__ = ["Caller", "make_nested_call"]
+__all__ = ["Caller", "EagerCaller", "make_nested_call"]
 
 DIALECT = headers.DIALECT
 HOST = "callers.example"
@@ -120,6 +120,36 @@
             connection.writer.transport.abort()
 
 
+class EagerCaller(Caller):
+    """A caller that sends the next request right behind each response.
+
+    It uses its connection until that ends, whatever a response says, and connects again
+    at once.
+    """
+
+    async def run(self) -> None:
+        """Send requests until cancelled."""
+        while True:
+            connection = await _connect(self._spec, self._get_boot())
+            if connection is None:
+                await asyncio.sleep(self.pause_s)
+                continue
+            try:
+                while await self._exchange_one(connection):
+                    pass
+            finally:
+                connection.writer.transport.abort()
+
+    async def _exchange_one(self, connection: _Connection) -> bool:
+        """Send a request and read its response; return False if there is none."""
+        sent = self._new_request()
+        await _send_all(connection, [sent], self._history, None)
+        if sent.status != 200:
+            # It doesn't try again faster than a daemon can start.
+            await asyncio.sleep(self.pause_s)
+        return sent.status is not None
+
+
 async def make_nested_call(
     spec: layout.InstanceSpec, history: records.History, rng
 ) -> bool:
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -23,6 +24,7 @@
 POLL_INTERVAL_S = 0.1
 # Log events that report an internal error of the daemon.
 FAILURE_EVENTS = ("thread_failed",)
+LOGGED_ID = re.compile(r'"request_id": "([^".]+)"')
 
 
 class Daemon:
@@ -81,6 +83,9 @@
             self._allows_any_status = True
         if number in (signal.SIGTERM, signal.SIGKILL):
             self._expects_exit = True
+        if number is signal.SIGKILL:
+            killed_at = self._history.killed_at_by_place[self.spec.number]
+            killed_at.append(self._history.now)
         self._process.send_signal(number)
 
     async def stop(self) -> None:
@@ -123,6 +128,10 @@
                 violations.append(f"{self.spec.name} logged an internal error: {line}")
         return violations
 
+    def logged_ids(self) -> set[str]:
+        """Return the ids of all requests that the log of the daemon names."""
+        return set(LOGGED_ID.findall(self._log_path.read_text()))
+
     # -----------------------------------------------------------------------
     #   The process
     # -----------------------------------------------------------------------
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -13,7 +13,7 @@
 CONFIGURATION_KEY = "op/config"
 ENTRY_PREFIX = "servers/"
 SLOTS = 4
-CALLERS_PER_INSTANCE = 2
+CALLERS_OF_INSTANCE = (callers.Caller, callers.Caller, callers.EagerCaller)
 # Kind and priority of the route of each path prefix.
 SEMANTICS_BY_PREFIX = {
     "/lookup/": ("safe", 1),
@@ -106,7 +106,7 @@
             for spec in specs
         }
         self.callers = [
-            callers.Caller(
+            kind(
                 instance.spec,
                 self.history,
                 random.Random(f"{seed}/caller/{number}/{index}"),
@@ -114,7 +114,7 @@
                 self._added_prefixes,
             )
             for number, instance in self.instances_by_number.items()
-            for index in range(CALLERS_PER_INSTANCE)
+            for index, kind in enumerate(CALLERS_OF_INSTANCE)
         ]
         self._version = 0
         self._services_by_prefix = dict(INITIAL_SERVICES_BY_PREFIX)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,88 +2,33 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import signal
 
 from emulator import proxy
-from soak import deployments, layout, records
-
-__all__ = ["CUTS", "FAULTS", "PLANNED", "Step", "perform"]
-
-# Time from the cut between readers and the store to a publication.
-CUT_PUBLICATION_DELAY_S = 0.4
-# Time after an outage of the store within which expired entries are renewed.
-MAX_RENEWAL_DELAY_S = 1.8
-# A draining endpoint keeps serving for this time. Once it has stopped, its
-# replacement starts after a delay.
-DRAIN_TIME_S = layout.BOUNDS.drain_s + 0.7
-REPLACEMENT_DELAY_S = 0.3
+from soak import deployments, layout, maintenance, series, steps
+
+__all__ = ["ACTIONS", "CUTS", "FAULTS", "PLANNED", "perform"]
+
 # Share of crashes after which the address goes to the other service, the delay of that,
 # the time until the new entry is written, and the lifetime of the former one.
 REUSED_ADDRESS_SHARE = 0.3
 REUSE_DELAY_S = 0.05
 REGISTRATION_DELAY_S = 0.8
 ENTRY_LIFETIME_S = 4.5
-# Share of planned replacements in which draining is never reported.
-UNREPORTED_DRAIN_SHARE = 0.4
-# Time that still counts as disturbed after a fault, and after a daemon is killed.
-RECOVERY_MARGIN_S = 0.5
+# Time that still counts as disturbed after a daemon is killed.
 RESTART_TIME_S = 2.0
 
+Effect = collections.abc.Callable[["deployments.Instance", steps.Step], None]
 
-def _entry(**changes: object) -> dict[str, object]:
-    entry: dict[str, object] = {"service": layout.SERVICES[0], "address": "10.0.0.9:80"}
-    entry |= {"zone": next(iter(layout.REGIONS_BY_ZONE)), "state": "ready", "slots": 4}
-    return entry | changes
-
-
-# Entries of another writer that name no endpoint to use.
-INVALID_ENTRIES = (
-    b"\xff\xfe",
-    b'{"note":' + 4000 * b"[",
-    {"service": 7},
-    _entry(address="10.0.0.9:70000"),
-    _entry(address="nowhere:80"),
-    _entry(slots=10**30),
-    {"state": "odd"},
-    b"",
-)
-
-Action = collections.abc.Callable[
-    ["deployments.Deployment", "deployments.Instance", "Step"],
-    collections.abc.Awaitable[None],
-]
-Effect = collections.abc.Callable[["deployments.Instance", "Step"], None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Step:
-    """A fault or a planned maintenance step.
-
-    :param at: when it starts, in s since the start of the run.
-    :param kind: the kind, which is a key of ``FAULTS``, ``PLANNED`` or ``CUTS``.
-    :param instance: the number of the instance that it affects.
-    :param duration_s: how long it lasts, in s.
-    :param strength: a number between 0 and 1 that sets the severity or selects a
-        variant.
-    """
-
-    at: float
-    kind: str
-    instance: int
-    duration_s: float
-    strength: float
 
-
-async def perform(deployment: "deployments.Deployment", step: Step) -> None:
+async def perform(deployment: "deployments.Deployment", step: steps.Step) -> None:
     """Perform a step and wait until it has ended.
 
     :param deployment: the deployment that it affects.
     :param step: the step.
     """
     instance = deployment.instances_by_number[step.instance]
-    action = (FAULTS | PLANNED | CUTS)[step.kind]
-    await action(deployment, instance, step)
+    await ACTIONS[step.kind](deployment, instance, step)
 
 
 # ---------------------------------------------------------------------------
@@ -91,12 +36,12 @@
 # ---------------------------------------------------------------------------
 
 
-def _temporary(apply: Effect, revert: Effect) -> Action:
+def _temporary(apply: Effect, revert: Effect) -> steps.Action:
     """Return an action that applies a fault and reverts it after the duration."""
 
     async def apply_temporarily(deployment, instance, step) -> None:
         deployment.history.record_disturbance(
-            step.kind, None, step.duration_s + RECOVERY_MARGIN_S
+            step.kind, None, step.duration_s + steps.RECOVERY_MARGIN_S
         )
         apply(instance, step)
         await asyncio.sleep(step.duration_s)
@@ -111,14 +56,18 @@
     return instance.proxies_by_port[ports[int(step.strength * len(ports))]]
 
 
-def _on_one_proxy(apply: collections.abc.Callable[[proxy.Proxy, Step], None]) -> Action:
+def _on_one_proxy(
+    apply: collections.abc.Callable[[proxy.Proxy, steps.Step], None],
+) -> steps.Action:
     return _temporary(
         lambda instance, step: apply(_select_proxy(instance, step), step),
         lambda instance, step: _select_proxy(instance, step).restore(),
     )
 
 
-def _on_all_proxies(apply: collections.abc.Callable[[proxy.Proxy], None]) -> Action:
+def _on_all_proxies(
+    apply: collections.abc.Callable[[proxy.Proxy], None],
+) -> steps.Action:
     def apply_to_all(instance, step) -> None:
         for target in instance.proxies_by_port.values():
             apply(target)
@@ -130,16 +79,13 @@
     return _temporary(apply_to_all, revert_all)
 
 
-def _delay(target: proxy.Proxy, step: Step) -> None:
+def _delay(target: proxy.Proxy, step: steps.Step) -> None:
     target.delay_s = 0.05 + 0.3 * step.strength
 
 
-def _refuse_connections(target: proxy.Proxy, step: Step) -> None:
-    target.refusing = True
-    target.reset()
-
-
-def _on_backend(name: str, value: collections.abc.Callable[[Step], float]) -> Action:
+def _on_backend(
+    name: str, value: collections.abc.Callable[[steps.Step], float]
+) -> steps.Action:
     def apply(instance, step) -> None:
         setattr(instance.backend.behavior, name, value(step))
 
@@ -149,7 +95,7 @@
     return _temporary(apply, revert)
 
 
-def _corrupt_responses(mode: str) -> Action:
+def _corrupt_responses(mode: str) -> steps.Action:
     def apply(instance, step) -> None:
         instance.backend.behavior.corruption = mode
         instance.backend.behavior.corrupt_share = 0.1 + 0.4 * step.strength
@@ -160,10 +106,10 @@
     return _temporary(apply, revert)
 
 
-def _on_store(name: str, value: float, default: float) -> Action:
+def _on_store(name: str, value: float, default: float) -> steps.Action:
     async def apply_temporarily(deployment, instance, step) -> None:
         deployment.history.record_disturbance(
-            step.kind, None, step.duration_s + RECOVERY_MARGIN_S
+            step.kind, None, step.duration_s + steps.RECOVERY_MARGIN_S
         )
         setattr(deployment.store, name, value)
         await asyncio.sleep(step.duration_s)
@@ -190,19 +136,6 @@
             await _kill_daemon(deployment, other, step)
 
 
-async def _terminate_daemon(deployment, instance, step) -> None:
-    now = deployment.history.now
-    until = now + layout.BOUNDS.grace_s + 1
-    stop = records.Disturbance(step.kind, instance.spec.number, now, until)
-    deployment.history.planned_stops.append(stop)
-    await instance.daemon.terminate()
-
-
-async def _reload_settings(deployment, instance, step) -> None:
-    instance.daemon.write_settings()
-    instance.daemon.signal(signal.SIGHUP)
-
-
 async def _reset_connections(deployment, instance, step) -> None:
     deployment.history.record_disturbance(step.kind, None, 0.0)
     _select_proxy(instance, step).reset()
@@ -260,118 +193,15 @@
     deployment.store.remove(former_key)
 
 
-# ---------------------------------------------------------------------------
-#   The store
-# ---------------------------------------------------------------------------
-
-
-async def _expire_entry(deployment, instance, step) -> None:
-    deployment.history.record_disturbance(
-        step.kind, None, step.duration_s + MAX_RENEWAL_DELAY_S
-    )
-    key = deployment.entry_key(instance)
-    deployment.store.busy = True
-    deployment.store.remove(key)
-    await asyncio.sleep(step.duration_s)
-    deployment.store.busy = False
-    await asyncio.sleep(step.strength * MAX_RENEWAL_DELAY_S)
-    if instance.backend.is_up and key == deployment.entry_key(instance):
-        deployment.register(instance)
-
-
-async def _compact_history(deployment, instance, step) -> None:
-    deployment.history.record_disturbance(step.kind, None, 0.0)
-    deployment.publish()
-    deployment.store.compact()
-
-
-async def _add_invalid_entry(deployment, instance, step) -> None:
-    value = INVALID_ENTRIES[int(step.strength * len(INVALID_ENTRIES))]
-    deployment.store.put(f"{deployments.ENTRY_PREFIX}foreign-{step.at}", value)
-
-
-# ---------------------------------------------------------------------------
-#   Planned maintenance
-# ---------------------------------------------------------------------------
-
-
-async def _publish(deployment, instance, step) -> None:
-    deployment.publish()
-
-
-async def _publish_series(deployment, instance, step) -> None:
-    for _ in range(4):
-        deployment.publish()
-        await asyncio.sleep(0.15)
-
-
-async def _publish_many_routes(deployment, instance, step) -> None:
-    deployment.publish(extra_routes=300)
-
-
-async def _replace_backend(deployment, instance, step) -> None:
-    """Drain a backend server and replace it by another one at the same address.
-
-    Some backend servers never report that they drain: their entry just disappears.
-    """
-    backend = instance.backend
-    if not backend.is_up:
-        return
-    history = deployment.history
-    key = deployment.entry_key(instance)
-    if step.strength < UNREPORTED_DRAIN_SHARE:
-        deployment.store.remove(key)
-    else:
-        deployment.register(instance, "draining")
-    history.drains.append(
-        records.Drain(backend.endpoint_id, instance.spec.number, history.now)
-    )
-    await asyncio.sleep(DRAIN_TIME_S)
-    if not backend.is_up or key != deployment.entry_key(instance):
-        return
-    deployment.store.remove(key)
-    backend.stop()
-    await asyncio.sleep(REPLACEMENT_DELAY_S)
-    if not backend.is_up:
-        await backend.start(instance.new_endpoint_id())
-        deployment.register(instance)
-
-
-def _cut_readers(apply: collections.abc.Callable[[proxy.Proxy, Step], None]) -> Action:
-    """Return an action that cuts all readers of a region off from the store.
-
-    Only these readers count as disturbed: the other instances reach the store.
-    """
-
-    async def cut_temporarily(deployment, instance, step) -> None:
-        readers = await deployment.find_readers(instance.spec.region)
-        for reader in readers:
-            deployment.history.record_disturbance(
-                step.kind, reader.spec.number, step.duration_s + RECOVERY_MARGIN_S
-            )
-            apply(reader.proxies_by_port[layout.STORE_PORT], step)
-        await asyncio.sleep(CUT_PUBLICATION_DELAY_S)
-        deployment.publish()
-        await asyncio.sleep(step.duration_s - CUT_PUBLICATION_DELAY_S)
-        for reader in readers:
-            reader.proxies_by_port[layout.STORE_PORT].restore()
-
-    return cut_temporarily
-
-
-CUTS: dict[str, Action] = {
-    "readers cut off": _cut_readers(lambda target, step: target.cut()),
-    "readers refused": _cut_readers(_refuse_connections),
-}
-FAULTS: dict[str, Action] = {
+CUTS = maintenance.CUTS
+PLANNED = maintenance.PLANNED
+FAULTS: dict[str, steps.Action] = {
     "daemon killed": _kill_daemon,
     "daemons killed": _kill_daemons,
     "daemon paused": _temporary(
         lambda instance, step: instance.daemon.signal(signal.SIGSTOP),
         lambda instance, step: instance.daemon.signal(signal.SIGCONT),
     ),
-    "daemon terminated": _terminate_daemon,
-    "settings reloaded": _reload_settings,
     "proxy delays data": _on_one_proxy(_delay),
     "proxy blocks all data": _on_one_proxy(lambda target, step: target.cut()),
     "proxy blocks data to target": _on_one_proxy(
@@ -380,7 +210,7 @@
     "proxy blocks data from target": _on_one_proxy(
         lambda target, step: target.cut((proxy.BACK,))
     ),
-    "proxy refuses connections": _on_one_proxy(_refuse_connections),
+    "proxy refuses connections": _on_one_proxy(maintenance.refuse_connections),
     "proxy resets connections": _reset_connections,
     "proxy silences connections": _silence_connections,
     "instance isolated": _on_all_proxies(lambda target: target.cut()),
@@ -396,18 +226,7 @@
     "store busy": _on_store("busy", True, False),
     "store silent": _on_store("silent", True, False),
     "store slow": _on_store("delay_s", 0.4, 0.0),
-    "entry expires": _expire_entry,
-    "history compacted": _compact_history,
-    "entry invalid": _add_invalid_entry,
-    "configuration published": _publish,
-    "configurations published": _publish_series,
-    "backend replaced": _replace_backend,
-}
-PLANNED: dict[str, Action] = {
-    "daemon terminated": _terminate_daemon,
-    "settings reloaded": _reload_settings,
-    "configuration published": _publish,
-    "configurations published": _publish_series,
-    "many routes": _publish_many_routes,
-    "backend replaced": _replace_backend,
+    **maintenance.STORE_FAULTS,
+    **{kind: action for kind, action in PLANNED.items() if kind != "many routes"},
 }
+ACTIONS: dict[str, steps.Action] = FAULTS | PLANNED | CUTS | series.SERIES
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,12 +10,14 @@
 
 from soak import configurations, layout, records
 
-__all__ = ["TIMED_CHECKS", "UNTIMED_CHECKS", "check"]
+__all__ = ["TIMED_CHECKS", "UNTIMED_CHECKS", "check", "find_unlogged_requests"]
 
 BOUNDS = layout.BOUNDS
 # Statuses which state that a request hasn't run and won't run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 MAX_ATTEMPTS = 3
+# Requests that may be cut off outside of planned stops.
+MAX_CUT_REQUESTS = 3
 # A request may be interrupted if an endpoint still runs it in this last part of the
 # grace period, and if it was sent soon enough after SIGTERM.
 FINAL_GRACE_SHARE = 1 / 6
@@ -186,8 +188,13 @@
         if drain is None or not arrival.ran:
             continue
         late_s = arrival.at - drain.at - BOUNDS.drain_s
-        window_s = BOUNDS.stability_window_s
-        undisturbed = history.is_undisturbed(drain.at - window_s, arrival.at)
+        since = drain.at - BOUNDS.stability_window_s
+        sent = history.sent_by_id.get(arrival.request_id)
+        # A machine in touch learns of it also while others are disturbed.
+        undisturbed = all(
+            history.is_undisturbed(since, arrival.at, place)
+            for place in (drain.place, sent.place if sent else None)
+        )
         if late_s > 0 and undisturbed:
             violations.append(
                 f"{late_s:.2f} s too late at a draining endpoint: {arrival}"
@@ -232,6 +239,53 @@
     return still_ran and sent.sent_at <= stop.since + CALLER_GRACE_S
 
 
+def find_cut_requests(history: records.History) -> list[str]:
+    """Find requests that were passed on and cut by daemons that nobody stops."""
+    runs = history.runs_by_id()
+    cut = [
+        sent
+        for sent in history.sent_by_id.values()
+        if sent.status is None and sent.left_at is None
+        if sent.ended_at < sent.deadline and runs.get(sent.request_id)
+        if _find_planned_stop(history, sent) is None
+        if all(
+            history.is_undisturbed(
+                sent.sent_at - BOUNDS.stability_window_s, sent.ended_at, place
+            )
+            for place in {sent.place, *(run.place for run in runs[sent.request_id])}
+        )
+    ]
+    if len(cut) <= MAX_CUT_REQUESTS:
+        return []
+    return [f"cut without a planned stop: {sent}" for sent in cut]
+
+
+def find_unlogged_requests(history: records.History) -> list[str]:
+    """Find requests that were read, got no answer, and aren't named in the log.
+
+    Requests of daemons that were killed meanwhile are left out.
+    """
+    runs = history.runs_by_id()
+    window_s = BOUNDS.stability_window_s
+    violations = []
+    for sent in history.sent_by_id.values():
+        if sent.status is not None:
+            continue
+        since = sent.sent_at - window_s
+        waited = sent.ended_at - sent.sent_at > BOUNDS.assumed_read_after_s
+        waited = waited and sent.detail != "not read"
+        undisturbed = history.is_undisturbed(since, sent.ended_at)
+        was_read = runs.get(sent.request_id) or (waited and undisturbed)
+        was_killed = any(
+            since <= killed_at <= sent.ended_at + window_s
+            for killed_at in history.killed_at_by_place[sent.place]
+        )
+        is_logged = sent.request_id in history.logged_ids_by_place.get(sent.place, ())
+        if was_read and not was_killed and not is_logged:
+            violations.append(f"not answered, and no line in the log: {sent}")
+    return violations
+
+
 def find_wasted_runs(history: records.History) -> list[str]:
     """Find runs that continued too long after their caller had left."""
     violations = []
@@ -289,6 +343,7 @@
     configurations.find_late_configurations,
     find_arrivals_after_drain,
     find_interrupted_requests,
+    find_cut_requests,
     find_wasted_runs,
     find_excess_deadlines,
     find_unanswered_requests,
--- a/soak/records.py
+++ b/soak/records.py
@@ -163,6 +163,8 @@
         self.planned_stops: list[Disturbance] = []
         self.configurations: list[Configuration] = []
         self.drains: list[Drain] = []
+        self.logged_ids_by_place: dict[int, set[str]] = {}
+        self.killed_at_by_place: dict[int, list[float]] = collections.defaultdict(list)
         self.stopped_at_by_endpoint: dict[str, float] = {}
         self.services_by_instance: dict[int, set[str]] = {}
         self.violations: list[str] = []
--- a/soak/running.py
+++ b/soak/running.py
@@ -6,7 +6,7 @@
 import pathlib
 import random
 
-from soak import deployments, faults, layout, promises, records, schedule
+from soak import deployments, faults, layout, promises, records, schedule, steps
 
 __all__ = ["Report", "run"]
 
@@ -54,10 +54,10 @@
 
 async def _run(seed, seconds, instances, subnet, folder, timed) -> Report:
     deployment = deployments.Deployment(instances, subnet, folder, seed)
-    steps = schedule.generate_steps(random.Random(seed), seconds, instances)
+    planned_steps = schedule.generate_steps(random.Random(seed), seconds, instances)
     try:
         await deployment.start()
-        await _perform_steps(deployment, steps)
+        await _perform_steps(deployment, planned_steps)
         await _await_recovery(deployment)
         await deployment.stop_callers()
     finally:
@@ -67,21 +67,23 @@
     violations = history.violations + promises.check(history, checks)
     for instance in deployment.instances_by_number.values():
         violations += instance.daemon.find_failures()
+        history.logged_ids_by_place[instance.spec.number] = instance.daemon.logged_ids()
+    violations += promises.find_unlogged_requests(history)
     return Report(
         seed,
         violations,
         collections.Counter(sent.status or 0 for sent in history.sent_by_id.values()),
-        collections.Counter(step.kind for step in steps),
+        collections.Counter(step.kind for step in planned_steps),
         len(history.runs),
     )
 
 
 async def _perform_steps(
-    deployment: deployments.Deployment, steps: list[faults.Step]
+    deployment: deployments.Deployment, planned_steps: list[steps.Step]
 ) -> None:
     started = deployment.history.now
     tasks = []
-    for step in steps:
+    for step in planned_steps:
         await asyncio.sleep(started + step.at - deployment.history.now)
         tasks.append(asyncio.create_task(faults.perform(deployment, step)))
     await asyncio.gather(*tasks)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -7,7 +7,8 @@
 
 import random
 
-from soak import faults
+from soak import faults, series
+from soak import steps as steps_module
 
 __all__ = ["generate_steps"]
 
@@ -22,6 +23,10 @@
 # duration.
 CUT_DELAY_S = 5.0
 CUT_DURATION_S = 4.0
+# Time from the start of a quiet phase to a series that disturbs some instances, during
+# the cut, and to one of planned work only, once nothing is disturbed any more.
+DISTURBED_SERIES_DELAY_S = 5.5
+CALM_SERIES_DELAY_S = 14.2
 # Range of the duration of a fault.
 MIN_DURATION_S = 0.2
 MAX_DURATION_S = 3.0
@@ -29,7 +34,7 @@
 
 def generate_steps(
     rng: random.Random, seconds: float, instances: int
-) -> list[faults.Step]:
+) -> list[steps_module.Step]:
     """Generate the steps of a run.
 
     The kinds are chosen by their position in sorted order, so a new or renamed kind
@@ -40,7 +45,7 @@
     :param instances: the number of instances.
     :returns: the steps, ordered by start.
     """
-    steps: list[faults.Step] = []
+    steps: list[steps_module.Step] = []
     quiet_starts: list[float] = []
     phase_start = 0.0
     while phase_start < seconds:
@@ -60,24 +65,39 @@
         for start in quiet_starts
         if start + CUT_DELAY_S < seconds
     ]
+    steps += [
+        _generate_series(rng, start + delay_s, kinds, instances)
+        for start in quiet_starts
+        for delay_s, kinds in (
+            (DISTURBED_SERIES_DELAY_S, sorted(series.DISTURBED_SERIES)),
+            (CALM_SERIES_DELAY_S, sorted(series.CALM_SERIES)),
+        )
+        if start + delay_s < seconds
+    ]
     return sorted(steps, key=lambda step: step.at)
 
 
-def _generate_cut(rng, at, instances) -> faults.Step:
+def _generate_cut(rng, at, instances) -> steps_module.Step:
     kind = rng.choice(sorted(faults.CUTS))
-    return faults.Step(
+    return steps_module.Step(
         at, kind, rng.randint(1, instances), CUT_DURATION_S, rng.random()
     )
 
 
+def _generate_series(rng, at, kinds, instances) -> steps_module.Step:
+    return steps_module.Step(
+        at, rng.choice(kinds), rng.randint(1, instances), 0.0, rng.random()
+    )
+
+
 def _generate_phase(
     rng, since, until, kinds, intervals_s, instances
-) -> list[faults.Step]:
+) -> list[steps_module.Step]:
     steps = []
     at = since + rng.uniform(*intervals_s)
     while at < until:
         steps.append(
-            faults.Step(
+            steps_module.Step(
                 round(at, 3),
                 rng.choice(kinds),
                 rng.randint(1, instances),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,20 @@
 """Tests the checks of the soak test, and runs it briefly with real daemons."""
 
+import hashlib
 import random
 
 import pytest
 
-from soak import faults, layout, promises, records, running, schedule
+from soak import (
+    deployments,
+    faults,
+    layout,
+    promises,
+    records,
+    running,
+    schedule,
+    series,
+)
 
 BOUNDS = layout.BOUNDS
 PLACE = 1
@@ -237,6 +247,80 @@
     assert steps == sorted(steps, key=lambda step: step.at)
 
 
+def test_series_of_stops_overlap_in_each_quiet_phase():
+    """Single stops that nothing overlaps don't show what two of them do."""
+    steps = schedule.generate_steps(random.Random(1), 52.0, 6)
+    for kinds in (series.CALM_SERIES, series.DISTURBED_SERIES):
+        assert len([step for step in steps if step.kind in kinds]) == 2
+
+
+def test_a_seed_keeps_its_steps_when_series_are_added():
+    """The steps of the regressions must stay what they were when they failed."""
+    steps = schedule.generate_steps(random.Random(7103), 52.0, 6)
+    kept = [step for step in steps if step.kind not in series.SERIES]
+    text = repr([(step.at, step.kind, step.instance) for step in kept])
+    assert hashlib.sha256(text.encode()).hexdigest()[:16] == "674cc833fe29cc01"
+
+
+def test_arrivals_after_a_drain_are_found_while_other_instances_are_disturbed():
+    """An instance in touch that follows a lost reader is bound by the drain too."""
+    history = make_history(make_sent(), make_arrival(110.0))
+    history.drains.append(records.Drain("one", PLACE + 1, 105.0))
+    history.disturbances.append(records.Disturbance("cut", PLACE + 2, 104.0, 111.0))
+    assert "find_arrivals_after_drain" in violated_checks(history)
+    for place in (PLACE, PLACE + 1):
+        history.disturbances.append(records.Disturbance("cut", place, 104.0, 111.0))
+        assert "find_arrivals_after_drain" not in violated_checks(history)
+        history.disturbances.pop()
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_found"),
+    [
+        ({}, True),
+        ({"logged": True}, False),
+        ({"killed": True}, False),
+        ({"status": 200}, False),
+        ({"ran": False}, True),
+        ({"ran": False, "disturbed": True}, False),
+        ({"disturbed": True}, True),
+        ({"ran": False, "ended_at": 100.1}, False),
+        ({"detail": "not read", "ran": False}, False),
+    ],
+    ids=str,
+)
+def test_a_request_that_was_read_and_is_in_no_log_is_found(changes, is_found):
+    """In the users' record no daemon named the request that was lost."""
+    own = ("logged", "killed", "ran", "disturbed")
+    fields = {name: value for name, value in changes.items() if name not in own}
+    sent = make_sent(**({"status": None, "signed": False, "detail": "closed"} | fields))
+    history = make_history(sent)
+    if changes.get("ran", True):
+        history.runs.append(make_run())
+    if changes.get("logged"):
+        history.logged_ids_by_place[PLACE] = {"a"}
+    if changes.get("killed"):
+        history.killed_at_by_place[PLACE] = [101.0]
+    if changes.get("disturbed"):
+        history.disturbances.append(records.Disturbance("cut", None, 99.0, 101.0))
+    assert bool(promises.find_unlogged_requests(history)) is is_found
+
+
+@pytest.mark.parametrize("cut", [3, 4])
+def test_more_than_three_requests_cut_by_calm_daemons_are_found(cut):
+    ids = [str(number) for number in range(cut)]
+    fields = {"status": None, "signed": False, "detail": "closed"}
+    history = make_history(
+        *(make_sent(one, f"/book/{one}", **fields) for one in ids),
+        *(make_run(one, f"/book/{one}") for one in ids),
+    )
+    history.disturbances.append(records.Disturbance("cut", PLACE + 1, 99.0, 101.0))
+    assert ("find_cut_requests" in violated_checks(history)) is (cut > 3)
+    stop = records.Disturbance("stop", PLACE, 99.9, 107.0)
+    history.planned_stops.append(stop)
+    assert "find_cut_requests" not in violated_checks(history)
+
+
 def test_an_interruption_during_a_disturbance_is_no_violation():
     history = history_with_planned_stop(
         make_sent(status=None, signed=False, detail="closed")
