Soak: a delay of its own event loop disturbs what is handled right after it

It records such a delay as a disturbance, but of the moment after it, so what it handled first after the delay counted as undisturbed. The disturbance now covers the delay itself. A test blocks the event loop; it failed before. Each run that violates a guarantee keeps its periods of disturbance beside the logs, so that the next case can be traced by them.

--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -8,7 +8,7 @@
 from savoryhollow import errors
 from soak import backends, callers, daemons, layout, records
 
-__all__ = ["Deployment", "Instance"]
+__all__ = ["Deployment", "Instance", "monitor_event_loop"]
 
 CONFIGURATION_KEY = "op/config"
 ENTRY_PREFIX = "servers/"
@@ -138,7 +138,7 @@
             self.register(instance)
             instance.daemon.start()
         await self._await_ready()
-        self._tasks.append(asyncio.create_task(self._monitor_event_loop()))
+        self._tasks.append(asyncio.create_task(monitor_event_loop(self.history)))
         self._tasks += [asyncio.create_task(one.run()) for one in self.callers]
 
     async def stop_callers(self) -> None:
@@ -174,14 +174,6 @@
                     raise errors.SavoryhollowError(text)
                 await asyncio.sleep(POLL_INTERVAL_S)
 
-    async def _monitor_event_loop(self) -> None:
-        while True:
-            before = self.history.now
-            await asyncio.sleep(POLL_INTERVAL_S)
-            delay_s = self.history.now - before - POLL_INTERVAL_S
-            if delay_s > MAX_EVENT_LOOP_DELAY_S:
-                self.history.record_disturbance("event loop delayed", None, 0.0)
-
     # -----------------------------------------------------------------------
     #   Configuration and entries
     # -----------------------------------------------------------------------
@@ -242,6 +234,20 @@
         return ENTRY_PREFIX + instance.backend.endpoint_id
 
 
+async def monitor_event_loop(history: records.History) -> None:
+    """Record each delay of the event loop as a disturbance; runs until cancelled."""
+    while True:
+        before = history.now
+        await asyncio.sleep(POLL_INTERVAL_S)
+        delay_s = history.now - before - POLL_INTERVAL_S
+        if delay_s > MAX_EVENT_LOOP_DELAY_S:
+            # What is handled first after the delay was held up by it as well.
+            disturbance = records.Disturbance(
+                "event loop delayed", None, before, history.now
+            )
+            history.disturbances.append(disturbance)
+
+
 def _configuration(version: int, services_by_prefix, timeout_s: float) -> dict:
     rules = []
     for prefix, services in services_by_prefix.items():
--- a/soak/running.py
+++ b/soak/running.py
@@ -5,6 +5,7 @@
 import dataclasses
 import pathlib
 import random
+import time
 
 from soak import deployments, faults, layout, promises, records, schedule, steps
 
@@ -69,6 +70,7 @@
         violations += instance.daemon.find_failures()
         history.logged_ids_by_place[instance.spec.number] = instance.daemon.logged_ids()
     violations += promises.find_unlogged_requests(history)
+    _write_periods(history, folder / "periods.txt")
     return Report(
         seed,
         violations,
@@ -78,6 +80,14 @@
     )
 
 
+def _write_periods(history: records.History, path: pathlib.Path) -> None:
+    """Write what disturbed the run, and when, beside the logs of the daemons."""
+    periods = [*history.disturbances, *history.planned_stops, *history.drains]
+    offset_s = time.time() - history.now
+    lines = [f"add {offset_s:.3f} s for the times of the logs", *map(str, periods)]
+    path.write_text("\n".join(lines) + "\n")
+
+
 async def _perform_steps(
     deployment: deployments.Deployment, planned_steps: list[steps.Step]
 ) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,9 @@
 """Tests the checks of the soak test, and runs it briefly with real daemons."""
 
+import asyncio
 import hashlib
 import random
+import time
 
 import pytest
 
@@ -247,6 +249,22 @@
     assert steps == sorted(steps, key=lambda step: step.at)
 
 
+def test_a_delay_of_the_soak_itself_disturbs_what_is_handled_right_after_it():
+    """What had waited for the event loop counted as late by the daemons (61100)."""
+
+    async def main():
+        history = records.History()
+        monitor = asyncio.create_task(deployments.monitor_event_loop(history))
+        await asyncio.sleep(0.01)
+        time.sleep(2 * deployments.MAX_EVENT_LOOP_DELAY_S + deployments.POLL_INTERVAL_S)
+        first_handled_at = history.now
+        await asyncio.sleep(deployments.POLL_INTERVAL_S)
+        monitor.cancel()
+        assert not history.is_undisturbed(first_handled_at, first_handled_at)
+
+    asyncio.run(main())
+
+
 def test_series_of_stops_overlap_in_each_quiet_phase():
     """Single stops that nothing overlaps don't show what two of them do."""
     steps = schedule.generate_steps(random.Random(1), 52.0, 6)
