Wait for ports as long as an earlier process may hold them

Cause: the wait had a bound of its own. An earlier process may hold its ports until the end of its grace, which is 6 s on the users' machines. And SIGTERM during the wait was heeded only after it; the stop that followed took its full time, so that both together took longer than the grace.

The wait is the grace and 1 s more. SIGTERM ends it: a daemon whose ports are in use a second later ends with status 0, as it has accepted nothing.

Of the 7 cases of the changed and new tests, 3 failed before: a port for daemons or callers held for 4.0 s, and SIGTERM while a port is in use.

--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -28,6 +28,8 @@
 SETTINGS_RETRY_INTERVAL_S = 0.05
 # Time at the end for a slow reader of the log, in s.
 LOG_TIMEOUT_S = 0.05
+# Time before the end of a stop at which a start that waits for ports is given up, in s.
+START_MARGIN_S = 1.0
 
 
 class Adapter:
@@ -208,7 +210,15 @@
     reload_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, reload_requested.set)
     front_socket = _matching_socket(front_socket, settings.agent.front)
-    await agent.start(front_socket, listening_since)
+    starting = agent.start(front_socket, listening_since)
+    start_task = asyncio.create_task(starting)
+    await _wait_for_start(
+        start_task, stop_requested, stop_request_times, settings.agent.stop_limit_s
+    )
+    if not start_task.done():
+        start_task.cancel()
+        return True
+    await start_task
     tasks.spawn_supervised(
         "settings", lambda: adapter.follow_settings(path, last_stamp, reload_requested)
     )
@@ -224,6 +234,30 @@
     return drained
 
 
+async def _wait_for_start(
+    start_task: asyncio.Task[None],
+    stop_requested: asyncio.Event,
+    stop_request_times: list[float],
+    stop_limit_s: float,
+) -> None:
+    """Wait until the agent has started, or can't start before it has to stop.
+
+    :param start_task: opens the ports, and waits for those that are in use.
+    :param stop_requested: set once the process is to stop.
+    :param stop_request_times: the times of the signals to stop, in s.
+    :param stop_limit_s: the time after the first of them at which the process is
+        killed, in s.
+    """
+    stop_task = asyncio.create_task(stop_requested.wait())
+    await asyncio.wait((start_task, stop_task), return_when=asyncio.FIRST_COMPLETED)
+    stop_task.cancel()
+    if stop_request_times:
+        # Callers may be waiting, and can be answered once the ports are open.
+        deadline = stop_request_times[0] + stop_limit_s - START_MARGIN_S
+        timeout_s = deadline - asyncio.get_running_loop().time()
+        await asyncio.wait((start_task,), timeout=max(0.0, timeout_s))
+
+
 def _matching_socket(
     listening_socket: socket.socket | None, address: models.Address
 ) -> socket.socket | None:
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -186,18 +186,21 @@
         settings = self.settings
         for address in settings.inner:
             await ports.open_port(
-                functools.partial(self._inner_port.start, address.host, address.port)
+                functools.partial(self._inner_port.start, address.host, address.port),
+                settings.stop_limit_s,
             )
         await ports.open_port(
             lambda: self._readiness_server.start(
                 settings.readiness.host, settings.readiness.port
-            )
+            ),
+            settings.stop_limit_s,
         )
         await self._start_metrics_server()
         await ports.open_port(
             lambda: self._caller_server.start(
                 settings.front.host, settings.front.port, front_socket, listening_since
-            )
+            ),
+            settings.stop_limit_s,
         )
         self._tasks.append(tasks.spawn_supervised("publish", self._reporter.run))
         self._tasks.append(tasks.spawn_supervised("run_upkeep", self._run_upkeep))
--- a/src/savoryhollow/proxy/ports.py
+++ b/src/savoryhollow/proxy/ports.py
@@ -8,22 +8,24 @@
 
 __all__ = ["keep_opening_port", "open_port"]
 
-# Time that a port may still be in use, such as by an earlier process, in s.
-PORT_WAIT_S = 3.0
+# Time for the ports of an earlier process to become free once it has ended, in s.
+RELEASE_MARGIN_S = 1.0
 RETRY_INTERVAL_S = 0.1
 TEMPORARY_ERRORS = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
 
 
 async def open_port(
     start: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    stop_limit_s: float,
 ) -> None:
     """Start to listen; wait if the address can't be used yet.
 
     :param start: the coroutine function that listens.
+    :param stop_limit_s: the time that an earlier process may take to stop, in s.
     :raises OSError: if the port can't be opened in time.
     """
     clock = asyncio.get_running_loop().time
-    deadline = clock() + PORT_WAIT_S
+    deadline = clock() + stop_limit_s + RELEASE_MARGIN_S
     while True:
         try:
             return await start()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -151,14 +151,16 @@
         assert daemon.wait(boot.DEFAULT_GRACE_S) == 1
 
 
+@pytest.mark.parametrize("wait_s", [1.0, 4.0])
 @pytest.mark.parametrize("port", [8146, 8147, 9464], ids=["inner", "front", "metrics"])
-def test_a_daemon_starts_although_a_port_is_still_in_use(tmp_path, port):
+def test_a_daemon_starts_although_a_port_is_still_in_use(tmp_path, port, wait_s):
+    """An earlier process may hold it until the end of its grace, of 4 s here."""
     path = tmp_path / "settings"
     ip = reserve_ip()
     path.write_text(settings_text(ip))
     with socket.create_server((ip, port)) as other:
         with running_daemon(path) as daemon:
-            time.sleep(1.0)
+            time.sleep(wait_s)
             if port != boot.METRICS_PORT:
                 other.close()
             wait_until_ready_port_opens(daemon, ip)
@@ -184,3 +186,14 @@
             caller.sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
             assert caller.recv(100).startswith(b"HTTP/1.1 503 ")
         assert daemon.wait(timeout=killed_at - time.monotonic()) == 0
+
+
+def test_sigterm_ends_a_daemon_that_waits_for_a_port(tmp_path):
+    """Else it waits on, stops in full after that, and is killed."""
+    path = tmp_path / "settings"
+    ip = reserve_ip()
+    path.write_text(settings_text(ip))
+    with socket.create_server((ip, 8146)), running_daemon(path) as daemon:
+        time.sleep(1.0)
+        daemon.send_signal(signal.SIGTERM)
+        assert daemon.wait(4.0) == 0
