Leave no received body behind when an exchange fails

Cause: a response without end is cut off at 16 MiB, but what was received stayed: a connection and its parser refer to each other, so it is freed only by the next full run of the garbage collector, which counts objects, not bytes, and is rare. The same held for the partial body of a caller that left, and an idle connection kept the body of its last response. The class is memory whose release is left to the garbage collector.

A connection now drops what it has received as soon as an exchange fails, a response is delivered or its caller is gone.

--- a/src/savoryhollow/http1/backends.py
+++ b/src/savoryhollow/http1/backends.py
@@ -190,6 +190,8 @@
 
     def _fail(self, text: str) -> None:
         self.usable = False
+        # The connection is part of a reference cycle, so it may outlive its use.
+        self._reset_message()
         if self._response_future is not None and not self._response_future.done():
             error = errors.BackendError(
                 text, started=True, response_started=self._response_started
@@ -259,6 +261,7 @@
             self.usable = False
             return
         body = b"".join(self._body)
+        self._body = []
         self._response_future.set_result(messages.Response(status, headers, body))
 
     def _is_awaited(self, headers: tuple[calls.Header, ...]) -> bool:
--- a/src/savoryhollow/http1/caller_connection.py
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -317,6 +317,8 @@
         self._flush()
 
     def _cancel_requests(self, reason: losses.Reason) -> None:
+        # The connection is part of a reference cycle, so it may outlive its use.
+        self._body = bytearray()
         self._memory.release()
         for entry in self._pipeline:
             self._server.body_budget.release(entry.reserved_bytes)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import contextlib
+import gc
+import tracemalloc
 
 import pytest
 
 from savoryhollow import errors
-from savoryhollow.http1 import backends
+from savoryhollow.http1 import backends, callers
 
 ID = "X-Id"
 REQUEST = f"GET / HTTP/1.1\r\nHost: x\r\n{ID}: r1\r\n\r\n".encode()
@@ -85,6 +87,56 @@
     return connection, caught.value
 
 
+def test_responses_without_end_leave_no_memory_behind():
+    """What was received stayed until the next run of the garbage collector."""
+
+    async def main():
+        for body in (BODIES["length"], BODIES["chunks"]):
+            await exchange_with(EndlessServer(*body))
+            await asyncio.sleep(0.05)
+
+    assert bytes_left_behind(main) < 1 << 20
+
+
+def test_bodies_of_callers_that_left_leave_no_memory_behind():
+    async def main():
+        server = callers.Server(None)
+        await server.start("127.0.0.1", 0)
+        address = server._server.sockets[0].getsockname()
+        for _ in range(3):
+            _, writer = await asyncio.open_connection(*address)
+            writer.write(
+                b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9000000\r\n\r\n"
+            )
+            writer.write(8_000_000 * b"x")
+            await writer.drain()
+            writer.close()
+            await writer.wait_closed()
+        while server.connections:
+            await asyncio.sleep(0.01)
+        server.close()
+
+    assert bytes_left_behind(main) < 1 << 20
+
+
+def bytes_left_behind(main):
+    """Return what a coroutine function leaves in use, without garbage collection."""
+
+    async def measure():
+        async with asyncio.timeout(20):
+            before, _ = tracemalloc.get_traced_memory()
+            await main()
+            return tracemalloc.get_traced_memory()[0] - before
+
+    gc.disable()
+    tracemalloc.start()
+    try:
+        return asyncio.run(measure())
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
 @pytest.mark.parametrize("first, piece", HEADS.values(), ids=HEADS)
 def test_a_head_without_end_is_cut_off_after_few_bytes(first, piece):
     endless = EndlessServer(first, piece)
