End a read of the store that repeats a page

What callers saw: nothing on the users' machines that can be told; a daemon whose store repeats a page of its items, saying that more follow, reads and keeps that page without end, until it passes its memory and is killed. At its start it never becomes ready.

Cause: the loop over the pages trusted the store to get on. The class is memory that grows with what others send.

Evidence: a stand-in store that repeats a page of 80 kB, 5 s, real daemons, one run each: 217 MB, 197 MB, still growing; now 32 MB, as any failed read. The new test failed before, by its time limit.

A page whose last key isn't beyond that of the page before fails the read, which is tried again with the usual backoff.

--- a/src/savoryhollow/platform/store.py
+++ b/src/savoryhollow/platform/store.py
@@ -114,6 +114,11 @@
             items += page.items
             if not page.has_more or not page.items:
                 break
+            if page.items[-1].key <= after:
+                # Else the same page would be read, and kept, without end.
+                raise errors.StoreError(
+                    "the store repeats a page of its items; check it"
+                )
             after = page.items[-1].key
         self._report_contact(True)
         self._replica.source = ""
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -22,6 +22,7 @@
         self.compacted_revision = 0
         self.stale_as_of = None
         self.unavailable = False
+        self.repeats_pages = False
         self.calls = []
         self.watch_waits_ms = []
 
@@ -60,7 +61,8 @@
             if change["revision"] <= as_of:
                 newest[change["key"]] = change
         items = [item for item in newest.values() if "value" in item]
-        return self._json({"items": items, "has_more": False, "as_of": as_of})
+        page = {"items": items, "has_more": self.repeats_pages, "as_of": as_of}
+        return self._json(page)
 
     async def _watch(self, after):
         for _ in range(20):
@@ -223,6 +225,19 @@
     run_scenario(scenario)
 
 
+def test_a_page_that_is_repeated_ends_the_read():
+    """It was read and kept again and again, without end."""
+
+    async def scenario(fake_store, readers, wait_until):
+        fake_store.put("a", b"1")
+        fake_store.repeats_pages = True
+        await wait_until(lambda: False in readers.contacts)
+        fake_store.repeats_pages = False
+        await wait_until(lambda: "a" in readers.content_by_key)
+
+    run_scenario(scenario)
+
+
 def test_a_large_response_on_a_slow_link_is_read_to_its_end(monkeypatch):
     """A timeout for the whole response would start it again and again from its head."""
     monkeypatch.setattr(store, "INITIAL_RESPONSE_TIMEOUT_S", 1.0)
