Hold no removal back that can still be applied in time

A daemon that nothing was wrong with could go on using a backend server that had left: removed from the list without a word, it got requests up to 5.22 s after the store had confirmed that (DRAIN, bound 2.5 s). Its own gate stayed open as well.

Cause: entries lapse if a backend server can't renew them in an outage of the platform, so removals are held back for 1.9 s after an outage of over 0.5 s. A daemon that follows readers takes it for such an outage if its readers hear nothing for 1.5 s, and measures it from then on. If only its readers are cut off, it takes their successors up to a second more, and a removal that is known 2.4 s after the platform's last word was held back until 4.3 s after it.

Outages up to 1 s, that is up to 2.5 s after the platform's last word, hold nothing back now. What is known later than that was missed by the list, not by this.

--- a/src/savoryhollow/membership/directory.py
+++ b/src/savoryhollow/membership/directory.py
@@ -13,8 +13,10 @@
 # How long a missing entry is still used after the source is available again, in s.
 # The backend server may have been unable to renew it during the outage.
 RENEWAL_GRACE_S = 1.9
-# An outage up to this long doesn't prevent the renewal of any entry, in s.
-MIN_OUTAGE_S = 0.5
+# An outage up to this long doesn't prevent the renewal of any entry, in s. It is known
+# 1.5 s after the last word from the source, and 2.5 s after that word a backend server
+# that left may get no more requests.
+MIN_OUTAGE_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_leaving_backend.py
+++ b/tests/test_leaving_backend.py
@@ -13,12 +13,14 @@
 
 from savoryhollow import calls, errors
 from savoryhollow.membership import directory, table
-from savoryhollow.proxy import backend_responses, gate
+from savoryhollow.proxy import backend_responses, gate, relay
 from savoryhollow.settings import models
 from savoryhollow.wire import messages
 
 BACKEND_HOST = "10.9.9.9"
 SLOTS = 4
+# Time after which a backend server that leaves may get no more requests, in s.
+DRAIN_S = 2.5
 CALL = messages.CallMessage(
     *("r1", "dispatch", "r-job", "", 5_000_000, True, 0, 1, "GET", "/job/x", (), b""),
     objective_us=4_000_000,
@@ -251,3 +253,35 @@
         assert len(pool.sent) == 1
 
     test_agent.run_with_timeout(main)
+
+
+def test_a_removal_is_not_held_back_as_long_as_it_can_be_applied_in_time():
+    """Its readers were cut off from the platform, which others could read all along.
+
+    The daemon took that for an outage in which entries lapse, and kept what had left
+    for 1.9 s after it was told.
+    """
+    now = 0.0
+    members = directory.Directory()
+
+    def record_contact(in_contact):
+        (members.mark_source_restored if in_contact else members.mark_source_lost)(now)
+
+    def take(items):
+        for item in items:
+            members.remove(item.key, now)
+
+    replica = relay.Replica(take, record_contact)
+    members.put(own_endpoint())
+
+    def receive(as_of, confirmed_at, *items):
+        age_us = int(1e6 * (now - confirmed_at))
+        replica.receive(messages.ItemsMessage(-1, as_of, age_us, items), now)
+
+    receive(1, 0.0)
+    now = relay.FRESH_LIMIT_S + 0.05
+    receive(1, 0.0)
+    now = DRAIN_S - 0.05
+    receive(2, now, messages.PublishedItem("e1", 2, None))
+    members.remove_due(now)
+    assert members.live_endpoints("dispatch") == []
