Soak: a daemon that waited for a processor counts as slowed

The guarantees about time hold for machines whose processes run and aren't slowed. The kernel tells how long a process waited for a processor; over 0.15 s between two checks is recorded as a disturbance of that instance.

--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -22,6 +22,8 @@
 # Exit statuses after SIGTERM: all requests had ended, or not.
 STOPPED_STATUSES = (0, 1)
 POLL_INTERVAL_S = 0.1
+# A process that waits longer for a processor between two checks counts as slowed.
+MAX_RUN_DELAY_S = 0.15
 # Log events that report an internal error of the daemon.
 FAILURE_EVENTS = ("thread_failed",)
 LOGGED_ID = re.compile(r'"request_id": "([^".]+)"')
@@ -53,6 +55,7 @@
         self._expects_exit = False
         self._allows_any_status = False
         self._started_at = 0.0
+        self._waited_s = 0.0
         self._supervisor: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -139,6 +142,7 @@
     def _launch(self) -> None:
         self.boot_count += 1
         self._started_at = self._history.now
+        self._waited_s = 0.0
         self._expects_exit = False
         self._allows_any_status = False
         environment = os.environ | {"SAVORYHOLLOW_BOOT": str(self._settings_path)}
@@ -157,6 +161,7 @@
             status = None if self._process is None else self._process.poll()
             if status is None:
                 self._check_memory()
+                self._record_run_delay()
                 continue
             is_expected = self._expects_exit and (
                 self._allows_any_status or status in STOPPED_STATUSES
@@ -183,6 +188,24 @@
             )
             self.signal(signal.SIGKILL)
 
+    def _record_run_delay(self) -> None:
+        """Record as a disturbance that the process had to wait for a processor."""
+        assert self._process is not None
+        try:
+            text = pathlib.Path(f"/proc/{self._process.pid}/schedstat").read_text()
+        except OSError:
+            # It has just ended.
+            return
+        waited_s = int(text.split()[1]) / 1e9
+        delay_s, self._waited_s = waited_s - self._waited_s, waited_s
+        if delay_s > MAX_RUN_DELAY_S:
+            now = self._history.now
+            place = self.spec.number
+            disturbance = records.Disturbance(
+                "daemon held up", place, now - delay_s, now
+            )
+            self._history.disturbances.append(disturbance)
+
 
 def _settings_text(spec: layout.InstanceSpec, seeds: list[layout.InstanceSpec]) -> str:
     bounds = layout.BOUNDS
