Close the sending side as soon as a long response is written

What callers saw: behind a long response that closes the connection, in a planned stop for one, the connection ended up to 0.25 s after the last byte. A caller that sent its next request right behind the response waited so long for the end, while the request was read and dropped; the users' bound for that is 0.2 s.

Cause: a connection whose response was still being written when the close began had its sending side closed only by the next check of the progress, every 0.25 s. Now the transport tells when everything is written (its limit of the buffer is 0 from then on), and the sending side is closed in the next iteration of the event loop. The checks are as before.

Evidence: a test with a check every 60 s, so that only the transport's word can end the connection; seen to fail before (timeout). Whether a request of the users' record was lost this way isn't known.

--- a/src/savoryhollow/http1/caller_connection.py
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -100,6 +100,11 @@
             self._graceful_close.cancel()
         self._cancel_requests(reason)
 
+    def resume_writing(self) -> None:
+        """Go on to close the connection."""
+        if self._graceful_close is not None:
+            self._graceful_close.handle_written()
+
     def data_received(self, data: bytes) -> None:
         """Parse data from the caller; requests that come too late are only reported."""
         if self._skips_data:
--- a/src/savoryhollow/http1/closing.py
+++ b/src/savoryhollow/http1/closing.py
@@ -43,6 +43,8 @@
         self._deadline = self._loop.time() + STALL_TIMEOUT_S
         self._is_shut = False
         transport.resume_reading()
+        # The protocol is told when everything is written.
+        transport.set_write_buffer_limits(0)
         self._shut_down_if_written()
         self._timer = self._loop.call_later(CHECK_INTERVAL_S, self._check)
 
@@ -50,6 +52,10 @@
         """Stop to watch the connection, as it is closed."""
         self._timer.cancel()
 
+    def handle_written(self) -> None:
+        """Close the sending side, once the transport has written everything."""
+        self._loop.call_soon(self._shut_down_if_written)
+
     def _shut_down_if_written(self) -> None:
         """Close the sending side, unless the peer has reset the connection."""
         if self._is_shut or self._transport.get_write_buffer_size():
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -97,6 +97,28 @@
     test_http1.run_with_timeout(main)
 
 
+def test_a_long_response_is_followed_by_the_end_of_the_connection_at_once(monkeypatch):
+    """The end came with the next check, up to 0.25 s after the last byte.
+
+    A caller that sent its next request right behind a long response waited so long,
+    while the request was read and dropped.
+    """
+    monkeypatch.setattr(closing, "CHECK_INTERVAL_S", 60.0)
+
+    async def main():
+        handler = LongHandler()
+        async with slow_caller(handler) as (server, reader, writer):
+            server.disable_keep_alive()
+            writer.write(request())
+            await test_http1.read_body(reader)
+            writer.write(request("/next"))
+            # Without the end, this lasts until the timeout of the test.
+            assert await reader.read() == b""
+            assert handler.requests == ["/a"]
+
+    test_http1.run_with_timeout(main)
+
+
 def test_a_caller_that_reads_nothing_at_all_is_given_up(monkeypatch):
     monkeypatch.setattr(closing, "STALL_TIMEOUT_S", 0.1)
     monkeypatch.setattr(closing, "CHECK_INTERVAL_S", 0.02)
