Keep no body of a request that is refused behind another

What could be seen: a daemon's memory grows without bound, until it is killed with the requests of all its callers (FAULT). One caller does it: behind a request in progress it sends a body beyond the limit; the 413 has to wait for its turn, and everything that came meanwhile was kept, as only the first excess was refused.

Not seen on a whole daemon.

A body of a refused request is dropped, and what follows it is not stored.

--- a/src/savoryhollow/http1/caller_connection.py
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -170,8 +170,8 @@
                 self._losses.record_sent(self._transport, size, None)
 
     def on_body(self, body: bytes) -> None:
-        """Store a part of the body."""
-        if self._closed:
+        """Store a part of the body, unless its request is refused."""
+        if self._closed or self._is_refusing:
             return
         self._body += body
         limit, budget = self._server.limits.body_bytes, self._server.body_budget
@@ -339,6 +339,7 @@
         if self._closed or self._is_refusing:
             return
         self._is_refused = True
+        self._body = bytearray()
         self._server.on_rejected(response.status, tuple(self._headers))
         self._pipeline.append(pipeline.PipelinedRequest(None, response))
         if self._transport is not None:
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -180,6 +180,28 @@
     test_http1.run_with_timeout(main)
 
 
+def test_a_body_that_is_refused_behind_another_request_is_not_kept():
+    """It grew without bound while the request before it was in progress."""
+
+    async def main():
+        async with serving(body_bytes=MIB) as (server, recorder):
+            reader, writer = await connect(server)
+            writer.write(b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+            await test_http1.wait_until(lambda: recorder.lengths)
+            (connection,) = (c for c in server.connections if c.pending_count)
+            head = b"POST /b HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            connection.data_received(head)
+            for _ in range(5):
+                connection.data_received(f"{MIB:x}\r\n".encode() + MIB * b"x" + b"\r\n")
+            assert len(connection._body) == 0
+            recorder.released.release()
+            statuses = [(await test_http1.read_body(reader))[0] for _ in range(2)]
+            assert [one.split()[1] for one in statuses] == ["200", "413"]
+            writer.close()
+
+    test_http1.run_with_timeout(main)
+
+
 def test_memory_is_granted_in_order():
     budget = body_budget.MemoryPool(LIMIT)
     granted = []
