Refuse requests whose bodies wait for memory in a planned stop

What callers could see: a connection that ends without a response (LOST is not broken, as the request wasn't read whole). Once a stop refuses requests, nothing more is read from a connection that waits for memory, so the caller was told nothing until the process ended.

Now they get the 503 of all late requests, which is true.

--- a/src/savoryhollow/http1/caller_connection.py
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -40,9 +40,7 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._parser = httptools.HttpRequestParser(self)
-        self._pipeline: collections.deque[pipeline.PipelinedRequest] = (
-            collections.deque()
-        )
+        self._pipeline = collections.deque[pipeline.PipelinedRequest]()
         self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
         # Arrival of the data that waits to be read, until it is read.
@@ -130,7 +128,7 @@
         self._reading_message = False
         self._reading_body = False
         # Whether the message was refused, and is reported as that.
-        self._is_refused = False
+        self._message_refused = False
 
     def on_message_begin(self) -> None:
         """Start a new request; its caller waits from now on."""
@@ -166,12 +164,11 @@
             assert self._transport is not None
             if not self._pipeline:
                 self._transport.write(CONTINUE_RESPONSE)
-                size = len(CONTINUE_RESPONSE)
-                self._losses.record_sent(self._transport, size, None)
+                self._losses.record_sent(self._transport, len(CONTINUE_RESPONSE), None)
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body, unless its request is refused."""
-        if self._closed or self._is_refusing:
+        if self._closed or pipeline.ends_with_refusal(self._pipeline):
             return
         self._body += body
         limit, budget = self._server.limits.body_bytes, self._server.body_budget
@@ -208,25 +205,19 @@
         self._transport.resume_reading()
         self._restart_timer()
 
-    @property
-    def _is_refusing(self) -> bool:
-        """Whether a response that closes the connection waits for earlier ones."""
-        return bool(self._pipeline) and self._pipeline[-1].request is None
-
     def on_message_complete(self) -> None:
         """Add the complete request to the pipeline."""
         self._reading_message = False
         refusal = self._server.refusal
-        is_refused = self._is_refusing or (refusal is not None and self._pipeline)
-        if self._closed or is_refused:
+        is_late = refusal is not None and bool(self._pipeline)
+        if self._closed or is_late or pipeline.ends_with_refusal(self._pipeline):
             # The response before it closes the connection, so the caller knows that
             # the request has not run.
             self._report_message(losses.Reason.BEHIND_CLOSE, losses.Stage.QUEUED)
             self._memory.release()
             return
         if refusal is not None:
-            self._refusal_bytes = len(messages.render_response(refusal))
-            self._refuse(refusal)
+            self._refuse_late(refusal)
             return
         request = messages.Request(
             method=self._parser.get_method().decode("latin-1"),
@@ -281,10 +272,9 @@
             self._server.body_budget.release(entry.reserved_bytes)
         if not self._closed:
             self._start_ready()
-            has_room = (
-                len(self._pipeline) < MAX_PIPELINED and not self._memory.is_waiting
-            )
-            if has_room and self._transport is not None:
+            has_room = len(self._pipeline) < MAX_PIPELINED
+            may_read = has_room and not self._memory.is_waiting
+            if may_read and self._transport is not None:
                 self._transport.resume_reading()
             self._restart_timer()
 
@@ -310,6 +300,19 @@
         if self._transport is not None and not self._transport.is_closing():
             self._graceful_close = closing.GracefulClose(self._transport)
 
+    def refuse_waiting(self, refusal: messages.Response) -> None:
+        """Refuse a request whose body waits for memory, as nothing of it will be read.
+
+        :param refusal: the response; it closes the connection.
+        """
+        if self._memory.is_waiting and not self._pipeline:
+            self._refuse_late(refusal)
+
+    def _refuse_late(self, refusal: messages.Response) -> None:
+        """Refuse a request that came too late in a stop, which doesn't wait for it."""
+        self._refusal_bytes = len(messages.render_response(refusal))
+        self._refuse(refusal)
+
     def end_requests(self, response: messages.Response) -> None:
         """Cancel the requests in progress.
 
@@ -336,9 +339,9 @@
 
     def _refuse(self, response: messages.Response) -> None:
         """End the requests of this connection with a response that closes it."""
-        if self._closed or self._is_refusing:
+        if self._closed or pipeline.ends_with_refusal(self._pipeline):
             return
-        self._is_refused = True
+        self._message_refused = True
         self._body = bytearray()
         self._server.on_rejected(response.status, tuple(self._headers))
         self._pipeline.append(pipeline.PipelinedRequest(None, response))
@@ -353,7 +356,6 @@
     def _restart_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
-            self._timer = None
         if self._closed or self._pipeline:
             return
         limits = self._server.limits
@@ -386,15 +388,14 @@
         """
         if self._reading_message:
             stage = losses.Stage.BODY if self._reading_body else losses.Stage.HEAD
-            is_late = self._graceful_close is not None
-            self._report_message(
-                losses.Reason.BEHIND_CLOSE if is_late else reason, stage
-            )
+            own_reason = losses.Reason.BEHIND_CLOSE if self._graceful_close else reason
+            self._report_message(own_reason, stage)
         if self._transport is not None:
             self._losses.report_unreceived(self._transport, reason)
 
     def _report_message(self, reason: losses.Reason, stage: losses.Stage) -> None:
         """Report the request that is being read, unless it was refused."""
-        if not self._is_refused:
-            headers = tuple(self._headers)
-            self._losses.report(headers, self._message_began_at, stage, reason)
+        if self._message_refused:
+            return
+        headers = tuple(self._headers)
+        self._losses.report(headers, self._message_began_at, stage, reason)
--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -146,6 +146,8 @@
         """
         self.closing = True
         self.refusal = refusal
+        for connection in tuple(self.connections):
+            connection.refuse_waiting(refusal)
 
     def end_requests(self, response: messages.Response) -> None:
         """Cancel all requests in progress.
--- a/src/savoryhollow/http1/pipeline.py
+++ b/src/savoryhollow/http1/pipeline.py
@@ -1,6 +1,7 @@
 """The requests of a connection that wait for their responses."""
 
 import asyncio
+import collections
 import collections.abc
 import dataclasses
 
@@ -45,6 +46,11 @@
             reporter.report_request(self.request, losses.Stage.QUEUED, reason)
 
 
+def ends_with_refusal(entries: collections.deque[PipelinedRequest]) -> bool:
+    """Return whether a response that closes the connection waits for earlier ones."""
+    return bool(entries) and entries[-1].request is None
+
+
 def startable(
     entries: collections.abc.Iterable[PipelinedRequest],
 ) -> collections.abc.Iterator[tuple[PipelinedRequest, messages.Request]]:
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -180,6 +180,24 @@
     test_http1.run_with_timeout(main)
 
 
+def test_a_request_whose_body_waits_for_memory_is_refused_in_a_stop():
+    """Its caller got no response, and was cut off at the end of the stop."""
+
+    async def main():
+        async with serving(header_timeout_s=1000.0) as (server, recorder):
+            first = asyncio.create_task(upload(server, LONG))
+            await test_http1.wait_until(lambda: recorder.lengths)
+            waiting = asyncio.create_task(upload(server, LONG))
+            await test_http1.wait_until(lambda: server.body_budget.waiting_count)
+            server.refuse_requests(messages.Response(503, close=True))
+            assert await waiting == 503
+            recorder.released.release()
+            assert await first == 200
+            assert recorder.lengths == [LONG]
+
+    test_http1.run_with_timeout(main)
+
+
 def test_a_body_that_is_refused_behind_another_request_is_not_kept():
     """It grew without bound while the request before it was in progress."""
 
