--- a/src/savoryhollow/http1/losses.py
+++ b/src/savoryhollow/http1/losses.py
@@ -12,8 +12,10 @@
 if typing.TYPE_CHECKING:
     from savoryhollow.http1 import callers
 
-__all__ = ["Loss", "LossReporter", "Reason", "Stage"]
+__all__ = ["MAX_REQUEST_ID_LENGTH", "Loss", "LossReporter", "Reason", "Stage"]
 
+# Longer request ids are truncated to this many characters.
+MAX_REQUEST_ID_LENGTH = 64
 # Maximum number of responses of a connection whose receipt is checked at its end.
 MAX_TRACKED_RESPONSES = 64
 # Number of responses from which the kernel is asked which were received.
@@ -71,7 +73,7 @@
 class _SentResponse:
     """The request of a response, and the length of all data sent up to its end."""
 
-    headers: tuple[calls.Header, ...]
+    request_id: str
     received_at: float
     end: int
 
@@ -103,7 +105,9 @@
             return
         if len(self._responses) >= MIN_CHECKED_RESPONSES:
             self._forget_received(transport)
-        sent = _SentResponse(request.headers, request.received_at, self._sent_bytes)
+        # The headers of a request aren't kept for as long as the connection is idle.
+        request_id = self._find_id(request.headers)
+        sent = _SentResponse(request_id, request.received_at, self._sent_bytes)
         self._responses.append(sent)
 
     def _forget_received(self, transport: asyncio.Transport) -> None:
@@ -127,10 +131,13 @@
         :param stage: how far it had come.
         :param reason: why it ends.
         """
-        name = self._server.request_id_header
-        request_id = messages.find_header(headers, name) or ""
+        request_id = self._find_id(headers)
         self._server.on_lost(Loss(request_id, stage, reason, received_at))
 
+    def _find_id(self, headers: tuple[calls.Header, ...]) -> str:
+        name = self._server.request_id_header
+        return (messages.find_header(headers, name) or "")[:MAX_REQUEST_ID_LENGTH]
+
     def report_request(
         self, request: messages.Request, stage: Stage, reason: Reason
     ) -> None:
@@ -146,5 +153,6 @@
         if self._responses:
             self._forget_received(transport)
         for one in self._responses:
-            self.report(one.headers, one.received_at, Stage.RESPONSE, reason)
+            loss = Loss(one.request_id, Stage.RESPONSE, reason, one.received_at)
+            self._server.on_lost(loss)
         self._responses.clear()
--- a/src/savoryhollow/proxy/front.py
+++ b/src/savoryhollow/proxy/front.py
@@ -19,8 +19,6 @@
 CONFIGURATION_WAIT_S = 0.8
 # Retry-After value of responses sent while no configuration is known, in s.
 UNCONFIGURED_RETRY_AFTER_S = 0.3
-# Longer request ids are truncated to this many characters.
-MAX_REQUEST_ID_LENGTH = 64
 
 RouteCall = collections.abc.Callable[
     [calls.Call, int], collections.abc.Awaitable[calls.Outcome]
@@ -119,7 +117,7 @@
         )
         timeout_s = min(caller_timeout_s - RESPONSE_MARGIN_S, route.timeout_s)
         call = calls.Call(
-            request_id=request_id[:MAX_REQUEST_ID_LENGTH],
+            request_id=request_id[:losses.MAX_REQUEST_ID_LENGTH],
             service=self._service_rotation.next_service(route),
             rank=route.name,
             caller="",
@@ -151,7 +149,7 @@
         version = self.table.version if self.table is not None else None
         events.emit(
             events.Event.REQUEST_REFUSED,
-            request_id=request_id[:MAX_REQUEST_ID_LENGTH],
+            request_id=request_id[:losses.MAX_REQUEST_ID_LENGTH],
             status=status,
             reason=reason,
             version=version,
@@ -171,7 +169,7 @@
         self._metrics.record_abandonment(route)
         events.emit(
             events.Event.REQUEST_ABANDONED,
-            request_id=(request_id or "")[:MAX_REQUEST_ID_LENGTH],
+            request_id=(request_id or "")[:losses.MAX_REQUEST_ID_LENGTH],
             route=route,
             reason=reason,
             after_ms=self._age_ms(request.received_at),
@@ -188,7 +186,7 @@
             event = events.Event.RESPONSE_CUT
         events.emit(
             event,
-            request_id=loss.request_id[:MAX_REQUEST_ID_LENGTH],
+            request_id=loss.request_id,
             stage=loss.stage.value,
             reason=loss.reason.value,
             after_ms=self._age_ms(loss.received_at),
@@ -199,7 +197,7 @@
         request_id = messages.find_header(headers, self._dialect.request_id) or ""
         events.emit(
             events.Event.REQUEST_REJECTED,
-            request_id=request_id[:MAX_REQUEST_ID_LENGTH],
+            request_id=request_id[:losses.MAX_REQUEST_ID_LENGTH],
             status=status,
         )
         self._metrics.record_refusal("", str(status))
