Serve other daemons only once nothing else is waited for in a start

What could happen: while a port for callers was in use, up to the grace and 1 s more, the port for other daemons was open already, and its gate passed their requests on with no list known, so also to a backend server that had left (DRAIN). If SIGTERM then ended the wait, a request that ran was dropped and the exit status was 0. Found by a review, shown by a trial in one process: a POST that came 2.4 s after SIGTERM ran and wasn't answered.

The ports for other daemons are opened last, and a start that is given up ends by an ordinary stop. The new test failed before.

--- a/src/savoryhollow/platform/process.py
+++ b/src/savoryhollow/platform/process.py
@@ -217,7 +217,7 @@
     )
     if not start_task.done():
         start_task.cancel()
-        return True
+        return await agent.stop(stop_request_times[0])
     await start_task
     tasks.spawn_supervised(
         "settings", lambda: adapter.follow_settings(path, last_stamp, reload_requested)
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -184,11 +184,6 @@
         :param listening_since: the time since which it has been listening.
         """
         settings = self.settings
-        for address in settings.inner:
-            await ports.open_port(
-                functools.partial(self._inner_port.start, address.host, address.port),
-                settings.stop_limit_s,
-            )
         await ports.open_port(
             lambda: self._readiness_server.start(
                 settings.readiness.host, settings.readiness.port
@@ -202,6 +197,12 @@
             ),
             settings.stop_limit_s,
         )
+        # Other daemons are served once nothing is waited for any more.
+        for address in settings.inner:
+            await ports.open_port(
+                functools.partial(self._inner_port.start, address.host, address.port),
+                settings.stop_limit_s,
+            )
         self._tasks.append(tasks.spawn_supervised("publish", self._reporter.run))
         self._tasks.append(tasks.spawn_supervised("run_upkeep", self._run_upkeep))
         self._tasks.append(
--- a/src/savoryhollow/proxy/front.py
+++ b/src/savoryhollow/proxy/front.py
@@ -117,7 +117,7 @@
         )
         timeout_s = min(caller_timeout_s - RESPONSE_MARGIN_S, route.timeout_s)
         call = calls.Call(
-            request_id=request_id[:losses.MAX_REQUEST_ID_LENGTH],
+            request_id=request_id[: losses.MAX_REQUEST_ID_LENGTH],
             service=self._service_rotation.next_service(route),
             rank=route.name,
             caller="",
@@ -149,7 +149,7 @@
         version = self.table.version if self.table is not None else None
         events.emit(
             events.Event.REQUEST_REFUSED,
-            request_id=request_id[:losses.MAX_REQUEST_ID_LENGTH],
+            request_id=request_id[: losses.MAX_REQUEST_ID_LENGTH],
             status=status,
             reason=reason,
             version=version,
@@ -169,7 +169,7 @@
         self._metrics.record_abandonment(route)
         events.emit(
             events.Event.REQUEST_ABANDONED,
-            request_id=(request_id or "")[:losses.MAX_REQUEST_ID_LENGTH],
+            request_id=(request_id or "")[: losses.MAX_REQUEST_ID_LENGTH],
             route=route,
             reason=reason,
             after_ms=self._age_ms(request.received_at),
@@ -197,7 +197,7 @@
         request_id = messages.find_header(headers, self._dialect.request_id) or ""
         events.emit(
             events.Event.REQUEST_REJECTED,
-            request_id=request_id[:losses.MAX_REQUEST_ID_LENGTH],
+            request_id=request_id[: losses.MAX_REQUEST_ID_LENGTH],
             status=status,
         )
         self._metrics.record_refusal("", str(status))
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -188,6 +188,20 @@
         assert daemon.wait(timeout=killed_at - time.monotonic()) == 0
 
 
+def test_other_daemons_are_not_served_while_a_port_is_waited_for(tmp_path):
+    """Their requests ran with no list known, and were cut if the start was given up."""
+    path = tmp_path / "settings"
+    ip = reserve_ip()
+    path.write_text(settings_text(ip))
+    with socket.create_server((ip, 8147)) as other, running_daemon(path) as daemon:
+        wait_until_ready_port_opens(daemon, ip)
+        time.sleep(0.5)
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection((ip, 8146), 1.0)
+        other.close()
+        wait_until_port_opens(daemon, ip, 8146)
+
+
 def test_sigterm_ends_a_daemon_that_waits_for_a_port(tmp_path):
     """Else it waits on, stops in full after that, and is killed."""
     path = tmp_path / "settings"
