Move a port although the other one waits for a third address

Two ports that had to wait for addresses in use, and were told to take each other's place meanwhile, waited for ever: each for the address at which the other one still listened, as only the last settings were looked at, not the addresses in use. Found by a review; the new test failed before (timeout). A start that is cancelled leaves no open socket behind.

--- a/src/savoryhollow/http1/callers.py
+++ b/src/savoryhollow/http1/callers.py
@@ -75,6 +75,11 @@
         self._server: asyncio.Server | None = None
         self._address: tuple[str, int] | None = None
 
+    @property
+    def address(self) -> tuple[str, int] | None:
+        """The host and port that it listens on, if it does."""
+        return self._address
+
     @property
     def in_progress(self) -> int:
         """The number of requests whose caller hasn't received the response yet."""
@@ -106,11 +111,15 @@
         loop = asyncio.get_running_loop()
         self._listening_since = listening_since
         self._started_at = loop.time()
-        server = await loop.create_server(
-            lambda: caller_connection.CallerConnection(self),
-            sock=listening_socket,
-            backlog=BACKLOG,
-        )
+        try:
+            server = await loop.create_server(
+                lambda: caller_connection.CallerConnection(self),
+                sock=listening_socket,
+                backlog=BACKLOG,
+            )
+        except BaseException:
+            listening_socket.close()
+            raise
         self.stop_listening()
         self._server, self._address = server, (host, port)
 
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -272,20 +272,24 @@
             self._applied_generation = -1
         if "backend" in changed:
             self.runner.change_address(settings.backend.host, settings.backend.port)
-        self._move_ports(old_settings, changed)
+        self._move_ports(changed)
         return changed
 
-    def _move_ports(
-        self, old_settings: options.AgentSettings, changed: list[str]
-    ) -> None:
+    def _move_ports(self, changed: list[str]) -> None:
         """Listen on changed addresses as soon as they aren't in use."""
-        servers = {"front": self._caller_server, "readiness": self._readiness_server}
-        servers_by_port = {name: servers[name] for name in servers if name in changed}
-        new_addresses = [getattr(self.settings, name) for name in servers_by_port]
+        servers_by_port = {
+            "front": self._caller_server,
+            "readiness": self._readiness_server,
+        }
         for name, server in servers_by_port.items():
-            if getattr(old_settings, name) in new_addresses:
+            wanted = [
+                getattr(self.settings, one) for one in servers_by_port.keys() - {name}
+            ]
+            if server.address in [(one.host, one.port) for one in wanted]:
                 server.stop_listening()
         for name, server in servers_by_port.items():
+            if name not in changed:
+                continue
             address = getattr(self.settings, name)
             start = functools.partial(server.start, address.host, address.port)
             if name in self._moves_by_port:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -322,6 +322,36 @@
     run_with_timeout(main)
 
 
+def test_ports_change_places_while_they_wait_for_others():
+    """Each waited for the address at which the other one still listened."""
+
+    async def main():
+        agent = make_agent()
+        with (
+            socket.create_server((HOST, 0)) as one,
+            socket.create_server((HOST, 0)) as two,
+        ):
+            first = models.Address(*one.getsockname())
+            second = models.Address(*two.getsockname())
+        await agent.reconfigure(make_settings(front=first, readiness=second))
+        await agent.start()
+        agent.configure(ROUTE_TABLE)
+        with (
+            socket.create_server((HOST, 0)) as one,
+            socket.create_server((HOST, 0)) as two,
+        ):
+            used = make_settings(
+                front=models.Address(*one.getsockname()),
+                readiness=models.Address(*two.getsockname()),
+            )
+            await agent.reconfigure(used)
+            await agent.reconfigure(make_settings(front=second, readiness=first))
+            await wait_for_status(second.port, "/a", 404)
+            await wait_for_status(first.port, headers.DIALECT.readiness_path, 200)
+
+    run_with_timeout(main)
+
+
 async def wait_for_status(port, target, status):
     found = None
     while found != status:
