End the threaded daemon when a port can't be opened

What callers saw: a daemon of the threaded path whose operator port is in use says so and then neither runs nor ends. Its port for callers accepts connections, and no request on them gets a response; nothing starts the process again, as it hasn't ended.

Cause: the servers open their ports when they are created, and the web server has threads from then on. If a later port can't be opened, nobody stops the earlier servers, and the interpreter waits for their threads at its exit.

Evidence: real processes, each port held in turn, one run each on: for callers and for daemons exit status 1; for operators still running after 8 s. Now exit status 1 for all three. The new test failed before for the operator port.

The servers that were opened are stopped again if a later one can't be.

--- a/src/savoryhollow/daemon/assembly.py
+++ b/src/savoryhollow/daemon/assembly.py
@@ -1,5 +1,6 @@
 """Create, connect, start and stop the components of a daemon."""
 
+import contextlib
 import random
 import secrets
 import time
@@ -168,14 +169,25 @@
 
     def _build_servers(self, hello: messages.HelloMessage) -> None:
         settings = self.settings
-        self._inner_server = server.InnerServer(
-            settings.inner.host,
-            settings.inner.port,
-            hello,
-            self.gate,
-            self._answer_control_message,
-        )
-        self._front_server = webserver.WebServer(
+        with contextlib.ExitStack() as opened:
+            # A server has threads as soon as it is created, which keep the process from
+            # ending if the next port can't be opened.
+            self._inner_server = server.InnerServer(
+                settings.inner.host,
+                settings.inner.port,
+                hello,
+                self.gate,
+                self._answer_control_message,
+            )
+            opened.callback(self._inner_server.stop, time.monotonic())
+            self._front_server = self._build_front_server()
+            opened.callback(self._front_server.stop)
+            self._operator_server = self._build_operator_server()
+            opened.pop_all()
+
+    def _build_front_server(self) -> webserver.WebServer:
+        settings = self.settings
+        return webserver.WebServer(
             settings.front.host,
             settings.front.port,
             settings.front_threads,
@@ -186,7 +198,10 @@
                 self.router.redeem,
             ),
         )
-        self._operator_server = webserver.WebServer(
+
+    def _build_operator_server(self) -> webserver.WebServer:
+        settings = self.settings
+        return webserver.WebServer(
             settings.operator.host,
             settings.operator.port,
             OPERATOR_THREADS,
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -1,6 +1,8 @@
 import importlib.util
 import json
 import pathlib
+import socket
+import threading
 import time
 
 import pytest
@@ -106,21 +108,36 @@
     assert capsys.readouterr().out.startswith("served by dispatch-")
 
 
-def test_the_gate_follows_what_the_list_says_of_its_backend_server():
+def make_daemon_settings(**changed):
     host = "127.0.0.1"
     any_port = models.Address(host, 0)
-    settings = models.DaemonSettings(
-        endpoint_id="dispatch-0",
-        service="dispatch",
-        region="east",
-        zone="east-a",
-        front=any_port,
-        inner=any_port,
-        operator=any_port,
-        backend=models.Target(host, 1),
-        store=models.Target(host, 1),
-    )
-    daemon = assembly.Daemon(settings)
+    defaults = {
+        "endpoint_id": "dispatch-0",
+        "service": "dispatch",
+        "region": "east",
+        "zone": "east-a",
+        "front": any_port,
+        "inner": any_port,
+        "operator": any_port,
+        "backend": models.Target(host, 1),
+        "store": models.Target(host, 1),
+    }
+    return models.DaemonSettings(**(defaults | changed))
+
+
+@pytest.mark.parametrize("port_name", ["front", "inner", "operator"])
+def test_a_daemon_that_can_not_open_a_port_leaves_no_threads(port_name):
+    """They kept the process from ending: it accepted callers and never served them."""
+    threads = set(threading.enumerate())
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        address = models.Address(*other.getsockname())
+        with pytest.raises(OSError):
+            assembly.Daemon(make_daemon_settings(**{port_name: address}))
+    assert set(threading.enumerate()) <= threads
+
+
+def test_the_gate_follows_what_the_list_says_of_its_backend_server():
+    daemon = assembly.Daemon(make_daemon_settings())
     other = test_membership.instance("dispatch", 1)
     leaving = []
     for instances in (
