Show that unread responses take a daemon over its memory

Cause: the bodies of requests are bounded, those of responses aren't. A bound needs a backend server's response to wait unread until there is memory for it, which isn't built yet.

--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -357,5 +357,34 @@
     )
 
 
+def test_responses_that_callers_do_not_read_take_bounded_memory():
+    """100 answers of 10 MB that nobody reads take a daemon over its memory."""
+
+    async def main():
+        async def handle(request):
+            return messages.Response(200, (), bytes(LONG))
+
+        server = callers.Server(handle)
+        server.body_budget = body_budget.BodyBudget(LIMIT)
+        await server.start("127.0.0.1", 0)
+        writers = []
+        for _ in range(8):
+            _, writer = await connect(server)
+            writer.transport.pause_reading()
+            writer.write(b"GET /a HTTP/1.1\r\nHost: x\r\n\r\n")
+            writers.append(writer)
+        await asyncio.sleep(1.0)
+        unsent = sum(
+            connection._transport.get_write_buffer_size()
+            for connection in server.connections
+        )
+        for writer in writers:
+            writer.transport.abort()
+        server.close()
+        assert unsent <= LIMIT
+
+    test_http1.run_with_timeout(main)
+
+
 def test_callers_server_has_a_budget_by_default():
     assert isinstance(callers.Server(None).body_budget, body_budget.BodyBudget)
