Leave out seeds that are not usable

What callers saw: a daemon that doesn't start since one of the addresses of other daemons in its settings file can't be used, though those are hints that may be out of date.

Cause: the seeds were validated like the addresses that the daemon needs. Since ports are validated, this also held for a seed whose port doesn't exist, which was used before.

Both cases of the new test failed before.

--- a/src/savoryhollow/platform/boot.py
+++ b/src/savoryhollow/platform/boot.py
@@ -1,5 +1,6 @@
 """Read the settings file that the platform writes on each instance."""
 
+import contextlib
 import math
 import pathlib
 import tomllib
@@ -121,7 +122,7 @@
             int(file.limits.memory_mb * (1 << 20)) - OTHER_MEMORY_BYTES,
         ),
         stop_limit_s=bounds.get("grace_s", DEFAULT_GRACE_S),
-        seeds=tuple(_parse_target(seed) for seed in file.seeds),
+        seeds=_parse_seeds(file.seeds),
     )
     return BootSettings(
         agent=settings,
@@ -145,6 +146,15 @@
     return values_by_name
 
 
+def _parse_seeds(texts: list[str]) -> tuple[models.Target, ...]:
+    """Return the usable seeds; they may be out of date, and the others will do."""
+    seeds = []
+    for text in texts:
+        with contextlib.suppress(ValueError):
+            seeds.append(_parse_target(text))
+    return tuple(seeds)
+
+
 def _parse_address(text: str) -> models.Address:
     return models.Address(*_split_address(text))
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -11,6 +11,7 @@
 import pytest
 
 from savoryhollow.platform import boot, early
+from savoryhollow.settings import models
 
 START_TIMEOUT_S = 60
 POLL_INTERVAL_S = 0.01
@@ -143,6 +144,16 @@
         wait_until_ready_port_opens(daemon, ip)
 
 
+@pytest.mark.parametrize("seed", ["nowhere", "127.0.0.1:70000"])
+def test_seeds_that_are_not_usable_do_not_keep_a_daemon_from_starting(tmp_path, seed):
+    """One of them used to make the whole file invalid, or to be used."""
+    path = tmp_path / "settings"
+    path.write_text(
+        f'seeds = ["{seed}", "127.0.0.9:8146"]' + settings_text("127.0.0.1")
+    )
+    assert boot.read(path).agent.seeds == (models.Target("127.0.0.9", 8146),)
+
+
 def test_sigterm_ends_a_daemon_that_waits_for_settings(tmp_path):
     """Else it waits on, and is killed."""
     with running_daemon(tmp_path / "settings") as daemon:
