--- a/soak/maintenance.py
+++ b/soak/maintenance.py
@@ -70,6 +70,7 @@
 
 
 async def terminate_daemon(deployment, instance, step) -> None:
+    """Stop a daemon as planned work does."""
     now = deployment.history.now
     until = now + layout.BOUNDS.grace_s + 1
     stop = records.Disturbance(step.kind, instance.spec.number, now, until)
@@ -154,6 +155,7 @@
 
 
 def refuse_connections(target: proxy.Proxy, step: steps.Step) -> None:
+    """Reset the connections of a proxy, and refuse others."""
     target.refusing = True
     target.reset()
 
--- a/src/savoryhollow/http1/caller_connection.py
+++ b/src/savoryhollow/http1/caller_connection.py
@@ -359,9 +359,9 @@
         if self._closed or self._pipeline:
             return
         limits = self._server.limits
-        timeout_s = (
-            limits.header_timeout_s if self._reading_message else limits.idle_timeout_s
-        )
+        timeout_s = limits.idle_timeout_s
+        if self._reading_message:
+            timeout_s = limits.header_timeout_s
         self._timer = self._loop.call_later(timeout_s, self._on_timeout)
 
     def _on_timeout(self) -> None:
@@ -395,7 +395,6 @@
 
     def _report_message(self, reason: losses.Reason, stage: losses.Stage) -> None:
         """Report the request that is being read, unless it was refused."""
-        if self._message_refused:
-            return
-        headers = tuple(self._headers)
-        self._losses.report(headers, self._message_began_at, stage, reason)
+        if not self._message_refused:
+            headers = tuple(self._headers)
+            self._losses.report(headers, self._message_began_at, stage, reason)
--- a/src/savoryhollow/platform/boot.py
+++ b/src/savoryhollow/platform/boot.py
@@ -4,6 +4,7 @@
 import math
 import pathlib
 import tomllib
+import typing
 
 import msgspec
 
@@ -13,7 +14,7 @@
 
 __all__ = ["BootSettings", "read"]
 
-MAX_PORT = 65_535
+_Port = typing.Annotated[int, msgspec.Meta(gt=0, le=65_535)]
 # Port on which metrics are served; ``deploy/system.toml`` contains it too.
 METRICS_PORT = 9464
 # Defaults of bounds that the file doesn't contain.
@@ -150,7 +151,7 @@
     """Return the usable seeds; they may be out of date, and the others will do."""
     seeds = []
     for text in texts:
-        with contextlib.suppress(ValueError):
+        with contextlib.suppress(*decoding.FAILURES):
             seeds.append(_parse_target(text))
     return tuple(seeds)
 
@@ -165,7 +166,4 @@
 
 def _split_address(text: str) -> tuple[str, int]:
     host, _, port_text = text.rpartition(":")
-    port = int(port_text)
-    if not 0 < port <= MAX_PORT:
-        raise ValueError(f"{text} has no valid port")
-    return host, port
+    return host, msgspec.convert(int(port_text), _Port)
--- a/src/savoryhollow/proxy/agent.py
+++ b/src/savoryhollow/proxy/agent.py
@@ -85,13 +85,7 @@
             self.request_metrics,
             self._clock,
         )
-        self._caller_server = callers.Server(self.front.handle)
-        self._caller_server.request_id_header = dialect.request_id
-        self._caller_server.on_rejected = self.front.record_rejected
-        self._caller_server.on_lost = self.front.record_lost
-        self._caller_server.body_budget = body_budget.BodyBudget(
-            settings.body_memory_bytes
-        )
+        self._caller_server = self._build_caller_server()
         self._readiness_server = callers.Server(self._answer_readiness)
         self._metrics_server = callers.Server(self._answer_metrics)
         self._inner_port = self._build_inner_port()
@@ -109,7 +103,18 @@
         self.runner.on_load = self._reporter.handle_load
         self.runner.may_send = lambda: not self.gate.leaving
         self._tasks: list[asyncio.Task[None]] = []
-        self._moves_by_port: dict[str, asyncio.Task[None]] = {}
+        self._moving_ports = ports.MovingPorts(
+            {"front": self._caller_server, "readiness": self._readiness_server}
+        )
+
+    def _build_caller_server(self) -> callers.Server:
+        server = callers.Server(self.front.handle)
+        server.request_id_header = self._dialect.request_id
+        server.on_rejected = self.front.record_rejected
+        server.on_lost = self.front.record_lost
+        memory_bytes = self.settings.body_memory_bytes
+        server.body_budget = body_budget.BodyBudget(memory_bytes)
+        return server
 
     def _build_inner_port(self) -> inner.InnerPort:
         return inner.InnerPort(
@@ -245,7 +250,8 @@
             self._reporter,
             self._inner_port,
         )
-        for task in (*self._tasks, *self._moves_by_port.values()):
+        self._moving_ports.cancel()
+        for task in self._tasks:
             task.cancel()
         self._caller_server.report_unfinished()
         endings = dict(self.request_metrics.endings - earlier)
@@ -272,31 +278,11 @@
             self._applied_generation = -1
         if "backend" in changed:
             self.runner.change_address(settings.backend.host, settings.backend.port)
-        self._move_ports(changed)
+        self._moving_ports.move(
+            {"front": settings.front, "readiness": settings.readiness}
+        )
         return changed
 
-    def _move_ports(self, changed: list[str]) -> None:
-        """Listen on changed addresses as soon as they aren't in use."""
-        servers_by_port = {
-            "front": self._caller_server,
-            "readiness": self._readiness_server,
-        }
-        for name, server in servers_by_port.items():
-            wanted = [
-                getattr(self.settings, one) for one in servers_by_port.keys() - {name}
-            ]
-            if server.address in [(one.host, one.port) for one in wanted]:
-                server.stop_listening()
-        for name, server in servers_by_port.items():
-            if name not in changed:
-                continue
-            address = getattr(self.settings, name)
-            start = functools.partial(server.start, address.host, address.port)
-            if name in self._moves_by_port:
-                self._moves_by_port[name].cancel()
-            moving = ports.keep_opening_port(name, start)
-            self._moves_by_port[name] = tasks.spawn(moving)
-
     # -----------------------------------------------------------------------
     #   Configuration and membership
     # -----------------------------------------------------------------------
