--- a/soak/callers.py
+++ b/soak/callers.py
@@ -84,13 +84,20 @@
 
     async def run(self) -> None:
         """Send requests until cancelled."""
-        while True:
-            await asyncio.sleep(self.pause_s * self._rng.uniform(0.5, 1.5))
-            count = PIPELINE_DEPTH if self._rng.random() < 0.2 else 1
-            batch = [self._new_request() for _ in range(count)]
-            if count > 1:
-                batch = [sent for sent in batch if sent.idempotent] or batch[:1]
-            await self._exchange(batch)
+        try:
+            while True:
+                await asyncio.sleep(self.pause_s * self._rng.uniform(0.5, 1.5))
+                await self._exchange(self._new_batch())
+        finally:
+            if self._connection is not None:
+                self._connection.writer.transport.abort()
+
+    def _new_batch(self) -> list[records.Sent]:
+        count = PIPELINE_DEPTH if self._rng.random() < 0.2 else 1
+        batch = [self._new_request() for _ in range(count)]
+        if count > 1:
+            batch = [sent for sent in batch if sent.idempotent] or batch[:1]
+        return batch
 
     def _new_request(self) -> records.Sent:
         path, method = self._rng.choice(ROUTES)
@@ -114,6 +121,7 @@
             connection = await _connect(self._spec, self._get_boot())
             if connection is None:
                 return
+            self._connection = connection
         reusable = await _send_all(connection, batch, self._history, self._rng)
         self._connection = connection if reusable else None
         if not reusable:
