Give the requests in a test of planned stops time also on a busy machine

test_no_accepted_request_is_cut_off_by_a_planned_stop failed at loads of 28 to 50, with 504s beside the 503s. So the test rested on the speed of the machine. Its requests and its stop now have 60 s; what it checks is unchanged.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -25,6 +25,8 @@
 PIPELINED = 2
 SLOTS = 40
 RUN_S = 0.02
+# Time that the requests and the stop may take also on a busy machine.
+AMPLE_S = 60.0
 ROUTE = routes.Route(
     name="r-job",
     host="work.example",
@@ -115,7 +117,9 @@
 
 
 async def start_daemon(backend_port):
-    agent = test_agent.make_agent(backend=models.Target(HOST, backend_port))
+    agent = test_agent.make_agent(
+        backend=models.Target(HOST, backend_port), stop_limit_s=AMPLE_S
+    )
     await agent.start()
     agent.members.put(
         directory.KnownEndpoint(
@@ -124,7 +128,8 @@
             SLOTS,
         )
     )
-    route_table = dataclasses.replace(test_agent.ROUTE_TABLE, routes=(ROUTE,))
+    route = dataclasses.replace(ROUTE, timeout_s=AMPLE_S)
+    route_table = dataclasses.replace(test_agent.ROUTE_TABLE, routes=(route,))
     assert agent.configure(route_table)
     return agent
 
