--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -16,21 +16,21 @@
 import test_closing
 import test_http1
 import test_planned_stop
-from test_closing import request
-from test_proxy_events import emitted, fields_of
+import test_proxy
+import test_proxy_events
 
 from savoryhollow.configuration import routes
 from savoryhollow.http1 import closing, messages
 from savoryhollow.observe import events, output
 from savoryhollow.platform import headers
 from savoryhollow.proxy import inner
-from tests import test_proxy
 
-__all__ = ["emitted"]
+# The fixture of that module.
+emitted = test_proxy_events.emitted
 
 ID = "X-Id"
 POST = b"POST /b HTTP/1.1\r\nHost: x\r\nX-Id: b\r\nContent-Length: 5\r\n\r\n"
-GET = request("/a", "X-Id: a")
+GET = test_closing.request("/a", "X-Id: a")
 
 
 class LossRecords(list):
@@ -165,7 +165,9 @@
 
     async def steps(server, handler, reader, writer):
         handler.finish("/a")
-        writer.write(request("/a", "X-Id: a", "Connection: close") + POST + b"12345")
+        writer.write(
+            test_closing.request("/a", "X-Id: a", "Connection: close") + POST + b"12345"
+        )
         await reader.read()
 
     assert play(steps) == [("", "rejected", "400")]
@@ -177,7 +179,7 @@
         handler.finish("/a")
         writer.write(GET)
         await test_http1.read_body(reader)
-        writer.write(request("/c", "X-Id: c") + POST)
+        writer.write(test_closing.request("/c", "X-Id: c") + POST)
         await asyncio.sleep(0.02)
         writer.close()
 
@@ -192,7 +194,7 @@
         writer.write(GET)
         await test_http1.wait_until(lambda: handler.started == ["/a"])
         server.refuse_requests(test_closing.REFUSAL)
-        writer.write(request("/c", "X-Id: c"))
+        writer.write(test_closing.request("/c", "X-Id: c"))
         await asyncio.sleep(0.02)
         handler.finish("/a")
         await reader.read()
@@ -204,8 +206,8 @@
     async def steps(server, handler, reader, writer):
         writer.write(GET)
         await test_http1.wait_until(lambda: handler.started == ["/a"])
-        long = request("/l", "X-Id: l", "Long: " + "x" * 70_000)
-        writer.write(long + request("/c", "X-Id: c"))
+        long = test_closing.request("/l", "X-Id: l", "Long: " + "x" * 70_000)
+        writer.write(long + test_closing.request("/c", "X-Id: c"))
         await asyncio.sleep(0.05)
         handler.finish("/a")
         await reader.read()
@@ -234,7 +236,7 @@
 
 def test_a_response_that_waits_for_an_earlier_one_is_reported_when_it_is_lost():
     async def steps(server, handler, reader, writer):
-        writer.write(GET + request("/c", "X-Id: c"))
+        writer.write(GET + test_closing.request("/c", "X-Id: c"))
         handler.finish("/c")
         await test_http1.wait_until(lambda: handler.started == ["/a", "/c"])
         await asyncio.sleep(0.02)
@@ -265,7 +267,7 @@
         async with test_closing.slow_caller(handler) as (server, reader, writer):
             reported.watch(server)
             lines = ["Connection: close"] if closes else []
-            writer.write(request("/a", "X-Id: a", *lines))
+            writer.write(test_closing.request("/a", "X-Id: a", *lines))
             await test_http1.wait_until(lambda: handler.requests)
             await asyncio.sleep(0.05)
             if ends == "process-ended":
@@ -285,7 +287,7 @@
     async def steps(server, handler, reader, writer):
         for number in range(12):
             handler.finish(f"/{number}")
-            writer.write(request(f"/{number}", f"X-Id: {number}"))
+            writer.write(test_closing.request(f"/{number}", f"X-Id: {number}"))
             if number % 3 == 2:
                 for _ in range(3):
                     await test_http1.read_body(reader)
@@ -320,7 +322,7 @@
         await asyncio.sleep(0.05)
 
     test_agent.run_with_timeout(main)
-    (fields,) = fields_of(emitted, events.Event.REQUEST_ABANDONED)
+    (fields,) = test_proxy_events.fields_of(emitted, events.Event.REQUEST_ABANDONED)
     assert (fields["request_id"], fields["route"]) == ("r1", "")
     assert fields["reason"] == "caller-closed"
 
@@ -335,9 +337,9 @@
         assert b" 500 " in await reader.read()
 
     test_agent.run_with_timeout(main)
-    (fields,) = fields_of(emitted, events.Event.REQUEST_DROPPED)
+    (fields,) = test_proxy_events.fields_of(emitted, events.Event.REQUEST_DROPPED)
     assert (fields["request_id"], fields["reason"]) == ("r1", "handler-failed")
-    assert fields_of(emitted, events.Event.THREAD_FAILED)
+    assert test_proxy_events.fields_of(emitted, events.Event.THREAD_FAILED)
 
 
 def test_a_stop_logs_which_requests_it_ended_and_how_many(emitted):
@@ -348,11 +350,11 @@
         assert not await world.stopping
 
     test_planned_stop.run_stopping(play)
-    (fields,) = fields_of(emitted, events.Event.REQUEST_ABANDONED)
+    (fields,) = test_proxy_events.fields_of(emitted, events.Event.REQUEST_ABANDONED)
     assert (fields["request_id"], fields["reason"]) == ("first", "stop-ended")
-    (fields,) = fields_of(emitted, events.Event.DAEMON_STOPPED)
+    (fields,) = test_proxy_events.fields_of(emitted, events.Event.DAEMON_STOPPED)
     assert fields["endings"] == {"abandoned": 1}
-    (fields,) = fields_of(emitted, events.Event.RUN_CANCELLED)
+    (fields,) = test_proxy_events.fields_of(emitted, events.Event.RUN_CANCELLED)
     assert fields["request_id"].startswith("first")
     assert fields["reason"] == "stop-ended"
 
@@ -372,7 +374,7 @@
         await asyncio.wait([task])
 
     test_proxy.run_with_timeout(main)
-    (fields,) = fields_of(emitted, events.Event.RUN_CANCELLED)
+    (fields,) = test_proxy_events.fields_of(emitted, events.Event.RUN_CANCELLED)
     assert fields["reason"] == "link-closed"
 
 
@@ -382,7 +384,7 @@
     for _ in range(events.LINES_PER_WINDOW + 3):
         events._context.limiter.admit(events.Event.PROBE_FAILED, 1.0)
     events.report_left_out()
-    (fields,) = fields_of(emitted, events.Event.LINES_LEFT_OUT)
+    (fields,) = test_proxy_events.fields_of(emitted, events.Event.LINES_LEFT_OUT)
     assert fields == {"suppressed_by_event": {"probe_failed": 3}, "dropped": 0}
     events.report_left_out()
     assert len(emitted) == 1
