--- a/tests/test_losses.py
+++ b/tests/test_losses.py
@@ -321,7 +321,9 @@
         await agent.start()
         _, writer = await start_request(agent)
         writer.close()
-        await asyncio.sleep(0.05)
+        await test_http1.wait_until(
+            lambda: test_proxy_events.fields_of(emitted, events.Event.REQUEST_ABANDONED)
+        )
 
     test_agent.run_with_timeout(main)
     (fields,) = test_proxy_events.fields_of(emitted, events.Event.REQUEST_ABANDONED)
